--- /dev/null
+++ b/fennelpoint/adapter.py
@@ -0,0 +1,361 @@
+"""Wire codec and loop: `python -m fennelpoint.adapter` hosts instances of the decision module.
+
+Reads batches of events from standard input and writes one reply per batch to standard output.
+It only translates between the wire's words and `fennelpoint.interface`; it decides nothing.
+"""
+
+from __future__ import annotations
+
+import math
+import struct
+import sys
+from collections.abc import Callable
+from typing import BinaryIO
+
+from fennelpoint import interface as api
+from fennelpoint.control import Controller
+
+BATCH_HEADER = struct.Struct(">IdI")
+REPLY_HEADER = struct.Struct(">II")
+RECORD_HEADER = struct.Struct(">BI")
+ENTRY = struct.Struct(">HdBH6sBf")
+EVERY_PEER = 0xFFFFFFFF
+
+STATUSES = {100: api.Status.OK, 301: api.Status.ERROR, 302: api.Status.FULL, 303: api.Status.TIMEOUT,
+            304: api.Status.CONNECT_FAILED, 305: api.Status.RESET, 306: api.Status.CANCELLED,
+            307: api.Status.MOOT}
+STATES = {0: api.BackendState.GONE, 1: api.BackendState.READY, 3: api.BackendState.DRAINING}
+ROSTER_KINDS = {0: api.RosterKind.CHANGES, 1: api.RosterKind.FULL, 2: api.RosterKind.CACHED,
+                3: api.RosterKind.FAILED}
+EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
+FLAG_REPEAT, FLAG_WRITE = 2, 4
+
+
+class WireError(Exception):
+    """The input does not follow the wire; the text names the fault and where it stands."""
+
+
+# Settings: path=value lines to interface fields.
+
+
+def _flag(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError(f"{text!r} is neither true nor false")
+    return text == "true"
+
+
+def _words(text: str) -> list[str]:
+    return [word for word in text.split(",") if word]
+
+
+def _whole(text: str) -> int:
+    return int(float(text))
+
+
+def _effect(text: str) -> api.Effect:
+    if text not in EFFECTS:
+        raise ValueError(f"unknown effect {text!r}")
+    return EFFECTS[text]
+
+
+NEEDED = {
+    "me": ("me", _whole), "ingresses": ("balancers", _whole), "zone": ("zone", _whole),
+    "max_attempts": ("bounds.max_attempts", _whole), "drain_grace": ("rules.drain_grace_s", float),
+    "cold_share": ("rules.cold_share", float), "ramp_time": ("rules.ramp_time_s", float),
+    "tip_multiple": ("rules.tip_multiple", float), "fall_span": ("rules.fall_s", float),
+    "answer_slack": ("rules.answer_slack_s", float), "tick": ("tick_s", float),
+}
+OPTIONAL = {
+    "report_fields": ("report.fields", _words), "report_via": ("report.via", str),
+    "discovery": ("discovery", str), "ask_every": ("rules.ask_every_s", float), "weights": ("weights", str),
+    "has_counter": ("extra.has_counter", _flag), "counter_timeout": ("extra.count_wait_s", float),
+    "counter_fee": ("extra.count_fee", float), "meter_period": ("extra.metering_s", float),
+    "trued_up": ("extra.trued_up", _flag), "most_units": ("extra.units_top", float),
+    "may_probe": ("bounds.probes", _flag), "may_message": ("bounds.peer_messages", _flag),
+    "may_cancel": ("bounds.cancel", _flag), "may_copy": ("bounds.second_copies", _flag),
+    "may_advise": ("bounds.retry_after", _flag), "max_advice": ("bounds.max_retry_after_s", float),
+    "connect_timeout": ("bounds.connect_timeout_s", float),
+}
+CLASS_NEEDED = {"name": ("name", str), "aim": ("aim_s", float), "deadline": ("give_up_s", float),
+                "worth": ("worth", float), "effect": ("repeat", _effect)}
+CLASS_OPTIONAL = {"group": ("group", api.Group), "window": ("window_s", float),
+                  "late_worth": ("late_worth", float), "aim_stretch": ("aim_stretch", float),
+                  "streamed": ("stream", _flag)}
+PLAN_NEEDED = {"name": ("name", str), "price": ("pays", float)}
+PLAN_OPTIONAL = {"rate": ("quota_rate", float), "burst": ("store_size", float),
+                 "open_limit": ("concurrency", _whole), "over_worth": ("extra_worth", float),
+                 "over_cost": ("overrun_cost", float), "ceiling_rate": ("ceiling_rate", float),
+                 "ceiling_burst": ("cap_depth", float), "ceiling_slack": ("cap_slack", float)}
+
+
+def _fields(values: dict[str, str], prefix: str, needed: dict, optional: dict) -> dict:
+    out = {}
+    for table, must in ((needed, True), (optional, False)):
+        for name, (path, convert) in table.items():
+            text = values.get(prefix + path)
+            if text is None:
+                if must:
+                    raise WireError(f"setting {prefix + path} is missing")
+                continue
+            try:
+                out[name] = convert(text)
+            except ValueError as error:
+                raise WireError(f"setting {prefix + path}: {error}") from None
+    return out
+
+
+def _objects(values: dict[str, str], name: str, needed: dict, optional: dict, make: Callable) -> list:
+    count = _fields(values, "", {"count": (f"{name}.count", int)}, {})["count"]
+    return [make(**_fields(values, f"{name}.{i}.", needed, optional)) for i in range(count)]
+
+
+def parse_settings(text: str) -> api.Settings:
+    """Settings from the lines of a SPAWN; keys that are not known here are ignored."""
+    values = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+    return api.Settings(
+        classes=_objects(values, "grades", CLASS_NEEDED, CLASS_OPTIONAL, api.RequestClass),
+        plans=_objects(values, "contracts", PLAN_NEEDED, PLAN_OPTIONAL, api.Plan),
+        **_fields(values, "", NEEDED, OPTIONAL))
+
+
+# Events: record bytes to interface events.
+
+
+class Reader:
+    """Takes fields from one record, checking that they fill it exactly."""
+
+    def __init__(self, data: bytes, where: str) -> None:
+        self.data, self.where, self.at = data, where, 0
+
+    def take(self, layout: str) -> tuple:
+        size = struct.calcsize(">" + layout)
+        return struct.unpack(">" + layout, self.raw(size))
+
+    def raw(self, size: int) -> bytes:
+        end = self.at + size
+        if end > len(self.data):
+            raise WireError(f"{self.where}: fields need {end} bytes, the record has {len(self.data)}")
+        part = self.data[self.at:end]
+        self.at = end
+        return part
+
+    def report(self) -> list[float]:
+        (count,) = self.take("B")
+        values = list(self.take(f"{count}f"))
+        if not all(map(math.isfinite, values)):
+            raise WireError(f"{self.where}: a load report of {values} is not finite")
+        return values
+
+    def lookup(self, table: dict, code: int, what: str):
+        if code not in table:
+            raise WireError(f"{self.where}: unknown {what} {code}")
+        return table[code]
+
+    def amount(self, value: float, what: str) -> float:
+        """A figure that has to be a number and can't be negative."""
+        if not 0.0 <= value < math.inf:
+            raise WireError(f"{self.where}: {what} {value} is not a finite figure of 0 or more")
+        return value
+
+    def finish(self) -> None:
+        if self.at != len(self.data):
+            raise WireError(f"{self.where}: fields end at {self.at} of {len(self.data)} bytes")
+
+
+def _registry(r: Reader) -> api.Roster:
+    kind, version, count = r.take("BQI")
+    entries = []
+    for _ in range(count):
+        shape, started, zone, cell, backend, state, weight = ENTRY.unpack(r.raw(ENTRY.size))
+        entries.append(api.BackendEntry(backend, r.lookup(STATES, state, "backend state"), started, zone,
+                                        cell, shape, weight))
+    return api.Roster(r.lookup(ROSTER_KINDS, kind, "list form"), version, entries)
+
+
+def _request(r: Reader) -> api.Request:
+    request, cls, plan, customer, left, units, width, first, bits = r.take("IBIQdfffB")
+    for value, what in ((left, "time left"), (units, "units"), (width, "spread"), (first, "first ingress")):
+        r.amount(value, what)
+    return api.Request(request, cls, plan, customer, left, units, width, first,
+                       bool(bits & FLAG_REPEAT), bool(bits & FLAG_WRITE))
+
+
+def _outcome(r: Reader) -> api.Outcome:
+    request, ended, backend, latency, code, attempt, used, units = r.take("IB6sdHHHH")
+    return api.Outcome(request, attempt, backend, r.lookup(STATUSES, code, "status"),
+                       r.amount(latency, "latency"), bool(ended), used, units, r.report())
+
+
+def _stream_started(r: Reader) -> api.StreamStarted:
+    return api.StreamStarted(*r.take("IH6sd"))
+
+
+def _client_gone(r: Reader) -> api.ClientGone:
+    return api.ClientGone(*r.take("I"))
+
+
+def _timer_due(r: Reader) -> api.TimerDue:
+    return api.TimerDue(*r.take("I"))
+
+
+def _probe_result(r: Reader) -> api.ProbeResult:
+    backend, code, latency = r.take("6sHd")
+    status = r.lookup(STATUSES, code, "status")
+    return api.ProbeResult(backend, status, r.amount(latency, "latency"), r.report())
+
+
+def _peer_message(r: Reader) -> api.PeerMessage:
+    sender, size = r.take("HH")
+    return api.PeerMessage(sender, r.raw(size))
+
+
+def _counter_reply(r: Reader) -> api.CounterReply:
+    name, code, total, latency = r.take("QHfd")
+    status = r.lookup(STATUSES, code, "status")
+    if not math.isfinite(total):
+        raise WireError(f"{r.where}: total {total} is not finite")
+    return api.CounterReply(name, status, total, r.amount(latency, "latency"))
+
+
+SPAWN, DETACH = 30, 70
+EVENTS = {10: _peer_message, 20: _client_gone, 40: _probe_result, 50: _registry, 60: _stream_started,
+          80: _request, 90: _counter_reply, 100: _outcome, 110: _timer_due}
+
+
+# Actions: interface actions to record bytes.
+
+
+def _text(text: str) -> bytes:
+    data = text.encode()[:0xFFFF]
+    return struct.pack(">H", len(data)) + data
+
+
+def _tell(a: api.Tell) -> tuple[int, bytes]:
+    peer = EVERY_PEER if a.peer is None else a.peer
+    return 80, struct.pack(">IH", peer, len(a.body)) + a.body
+
+
+ACTIONS: dict[type, Callable[..., tuple[int, bytes]]] = {
+    api.Send: lambda a: (10, struct.pack(">I6sd", a.request, a.backend, a.timeout)),
+    api.Refuse: lambda a: (20, struct.pack(">Id", a.request, a.retry_after)),
+    api.Fail: lambda a: (30, struct.pack(">I", a.request)),
+    api.CancelAttempt: lambda a: (40, struct.pack(">IH", a.request, a.attempt)),
+    api.SetTimer: lambda a: (50, struct.pack(">dI", a.delay, a.token)),
+    api.Probe: lambda a: (60, a.backend),
+    api.CloseIdle: lambda a: (70, a.backend),
+    api.Tell: _tell,
+    api.Log: lambda a: (90, _text(a.text)),
+    api.Subscribe: lambda a: (110, struct.pack(">B", a.on)),
+    api.FetchRoster: lambda a: (120, b""),
+    api.Count: lambda a: (130, struct.pack(">Qfd", a.name, a.amount, a.forget_after)),
+}
+DIE = 100
+
+
+def encode(instance: int, code: int, fields: bytes) -> bytes:
+    return RECORD_HEADER.pack(code, 4 + len(fields)) + struct.pack(">I", instance) + fields
+
+
+class Host:
+    """The instances of this process; they share nothing but the loop."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, Controller] = {}
+
+    def record(self, code: int, data: bytes, now: float, where: str) -> list[bytes]:
+        """Give one event to its instance; the encoded actions it answers with."""
+        reader = Reader(data, where)
+        (instance,) = reader.take("I")
+        if code == SPAWN:
+            seed, size = reader.take("QI")
+            try:
+                settings = parse_settings(reader.raw(size).decode())
+            except (WireError, ValueError) as error:
+                raise WireError(f"{where}: {error}") from None
+            step = lambda: self.start(instance, settings, seed, now)  # noqa: E731
+        elif code == DETACH:
+            step = lambda: self.instances.pop(instance, None) and []  # noqa: E731
+        elif code in EVENTS:
+            event = EVENTS[code](reader)
+            if isinstance(event, api.Request):
+                self.check(instance, event, where)
+            step = lambda: self.handle(instance, event, now)  # noqa: E731
+        else:
+            raise WireError(f"{where}: unknown event code {code}")
+        reader.finish()
+        try:
+            return [encode(instance, *ACTIONS[type(action)](action)) for action in step() or []]
+        except Exception as error:  # a defect in the decisions: declare it to the host of the wire
+            return [encode(instance, DIE, _text(f"{type(error).__name__}: {error}"))]
+
+    def check(self, instance: int, ask: api.Request, where: str) -> None:
+        """Refuse a request of a class or plan that the instance's settings don't have."""
+        if (controller := self.instances.get(instance)) is None:
+            return
+        for index, known, what in ((ask.cls, controller.settings.classes, "class"),
+                                   (ask.plan, controller.settings.plans, "plan")):
+            if index >= len(known):
+                raise WireError(f"{where}: {what} {index} is not among the {len(known)} of the settings")
+
+    def start(self, instance: int, settings: api.Settings, seed: int, now: float) -> list[api.Action]:
+        self.instances[instance] = Controller(settings, seed, now)
+        return self.instances[instance].start(now)
+
+    def handle(self, instance: int, event: api.Event, now: float) -> list[api.Action]:
+        controller = self.instances.get(instance)
+        return controller.handle(event, now) if controller else []  # a stopped instance is owed nothing
+
+    def batch(self, body: bytes, count: int, now: float, number: int) -> bytes:
+        """The reply to one batch."""
+        out, at = [], 0
+        for index in range(count):
+            where = f"batch {number}, record {index}"
+            if at + RECORD_HEADER.size > len(body):
+                raise WireError(f"{where}: the batch ends at byte {len(body)}")
+            code, size = RECORD_HEADER.unpack_from(body, at)
+            at += RECORD_HEADER.size
+            if at + size > len(body):
+                raise WireError(f"{where}: length {size} passes the end of the batch")
+            out += self.record(code, body[at:at + size], now, where)
+            at += size
+        if at != len(body):
+            raise WireError(f"batch {number}: {len(body) - at} bytes after its last record")
+        reply = b"".join(out)
+        return REPLY_HEADER.pack(len(reply), len(out)) + reply
+
+
+def read_exactly(stream: BinaryIO, size: int) -> bytes:
+    """As many bytes as asked for, however the stream chops them; fewer only at its end."""
+    parts, missing = [], size
+    while missing and (part := stream.read(missing)):
+        parts.append(part)
+        missing -= len(part)
+    return b"".join(parts)
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Answer batches until the input ends."""
+    host, number = Host(), 0
+    while header := read_exactly(source, BATCH_HEADER.size):
+        if len(header) < BATCH_HEADER.size:
+            raise WireError(f"batch {number}: the input ends inside its header")
+        size, now, count = BATCH_HEADER.unpack(header)
+        body = read_exactly(source, size)
+        if len(body) < size:
+            raise WireError(f"batch {number}: the input ends after {len(body)} of {size} bytes")
+        sink.write(host.batch(body, count, now, number))
+        sink.flush()
+        number += 1
+
+
+def main() -> int:
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except WireError as error:
+        print(f"fennelpoint: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/fennelpoint/control.py
@@ -0,0 +1,444 @@
+"""Every decision of the gateway; its types, events and actions stand in `interface.py`, read that first.
+
+A request is counted and placed (`_admit`), held while it is short of units, of an answer or of a backend
+(`_pump`), sent (`_choose`), and ended by its outcome (`_outcome`); each period cuts or gives back room
+(`_regulate`).  `docs/design.md` tells what comes from the paper, what was changed, and every exception.
+"""
+
+from __future__ import annotations
+
+from math import inf
+from random import Random
+
+from fennelpoint import interface as api
+from fennelpoint.state import Backend, Customer, Cut, Try
+from fennelpoint.upkeep import Fleet, Line, Sums, Timers, fill, forget, new_total, same_group
+
+PERIOD, COUNT_PERIOD = 0.5, 1.0  # s; short against bursts of seconds; a counter call has a price
+STEPS, STEP = 3, 0.05   # m, and the share of the rate sent that one constant step takes off
+MOST_CUT, RETURN = 2.0, 2.0  # most steps taken off one customer at a time; steps given back: no idle room
+CONFIDENT, FULL_STEP, CHANGE = 2.0, 3.0, 2.0  # 1 / S_p (1 / aims) trusted; most steps it is worth; the 2x
+FIT_MEMORY, FIT_LEAST = 0.98, 2.0  # past's weight a period (about 25 s); points that a line must pass
+RATE_MEMORY, IDLE_RATE = 0.7, 0.05  # past's weight in averages, a period; units a second that count as none
+PUMP, LATE_MARGIN = 0.02, 1.5  # s between looks at what waits; usual latencies between release and aim
+SILENT_AFTER, BACK_OFF_MOST, FORGET_COUNT = 3.0, 8.0, 60.0  # s: silent; longest pause; a count's longest life
+ASKED_HALF, SPARSE = 2.0, 10.0  # s: asks count half in a share; to fill one request: past it each try asks
+WINDOW, CROWDED = 1.0, 0.3  # burst spans that its asks are counted over; of the time-out: stood in line
+ASK_GAIN, ASK_EASE, ASK_LOSS, LEAST_ASKING = 0.05, 0.9, 0.6, 0.1  # asking share: quick, crowded, none; least
+FIRST_GUESS, FASTER, SLOWER, LEARN = 0.12, 0.1, 0.03, 0.2  # of the aim: a first latency; an answer's weights
+FAILED, SLOWEST, SLOW_HALF = 4.0, 64.0, 4.0  # a failure looks so much slower, at most; s to fade by half
+REST_MOST, TARGET = 3.0, 0.25  # s, longest rest after failures; of the aim, used behind: the rest to wait in
+FIRST_OUT, WINDOW_CUT, LEAST_OUT = 12.0, 0.85, 0.1  # own attempts out: a backend at first, of all; cut; least
+NEAR_TIE, CANDIDATES = 1.15, 16  # how much better another zone must be; an own part of a large fleet
+HERD, SEES = 0.2, 4.0   # least random part of a wait; ingresses up to which own work out tells most of it
+PROBES, PROBE_WAIT = 2, 0.05  # backends probed for a try by those who see little, and s that it waits
+REPORT_HALF, COLD_CAUTION = 1.0, 1.5  # s for a report to count half; power of a cold share that wins a draw
+RETRY_SHARE, RETRY_BURST, PAUSE_FULL = 0.1, 10.0, 0.03  # further attempts a first one, saved up; s if full
+FORGET, SWEEP = 15.0, 2  # s after which an idle customer is forgotten, and how many are looked at a try
+TOKEN_PERIOD, TOKEN_PUMP = 1, 2
+REGIONS = (("meet", "failed"), ("lucky", "exceeded"))  # within quota or over it; within aim or over it
+
+
+class Fit(Sums):
+    """Running least squares of latency against rate sent, with forgetting."""
+
+    def at(self, x: float) -> tuple[float, float]:
+        """The latency predicted there and its 1 / S_p (paper 4.4); 0 for too few or equal points."""
+        n = max(self.n, 1e-9)
+        mean, spread = self.x / n, self.xx - self.x * self.x / n
+        slope = (self.xy - self.y * mean) / spread if spread > 1e-9 else 0.0
+        residue = max(1e-9, self.yy - self.y * self.y / n - slope * slope * spread)
+        if n <= FIT_LEAST or spread <= 1e-9:
+            return self.y / n + slope * (x - mean), 0.0
+        error = residue / (n - 2.0) * (1.0 + 1.0 / n + (x - mean) ** 2 / spread)
+        return self.y / n + slope * (x - mean), error ** -0.5
+
+
+class Controller:
+    """The decisions of one ingress: give it events, carry out the actions it returns."""
+
+    def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
+        self.settings, self.random, self.out = settings, Random(seed), []
+        self.fleet, self.line, self.timers = Fleet(), Line(), Timers(settings.tick)
+        self.customers: dict[int, Customer] = {}  # the longest unseen first
+        self.active: dict[int, Customer] = {}  # those that the period looks at
+        self.typical = [FIRST_GUESS * c.aim for c in settings.classes]  # latency of a class, uncrowded
+        self.usual = list(self.typical)  # and as it is now
+        self.fit, self.work, self.period_at = Fit(), 0.0, now
+        self.window, self.pressure, self.cut_at, self.rest_until = 0.0, 0.0, now, now  # own attempts out
+        self.retries, self.cut, self.pressed = RETRY_BURST, None, False
+        self.asking, self.usual_held = 1.0, 0.0  # share of sparse tries that ask; requests a backend reports
+        self.odds = [[1.0, 0.3] for _ in settings.plans]  # that a first sparse try, and a repeat, has room
+        self.blind = HERD + (1.0 - HERD) * max(0.0, 1.0 - SEES / settings.ingresses)  # to others' work
+        self.probes = settings.may_probe and settings.report_via != "none" and self.blind > 0.5
+        self.on = {api.Request: self._admit, api.Outcome: self._outcome, api.Roster: self._roster,
+                   api.ProbeResult: self._probed, api.TimerDue: self._timer, api.CounterReply: self._counted,
+                   api.ClientGone: lambda event, now: self.line.end(event.request)}
+
+    def start(self, now: float) -> list[api.Action]:
+        return [api.Subscribe()] if self.settings.discovery == "ask" else []
+
+    def handle(self, event: api.Event, now: float) -> list[api.Action]:
+        self.out = []
+        self.on.get(type(event), lambda event, now: None)(event, now)
+        return self.out
+
+    def _timer(self, due: api.TimerDue, now: float) -> None:
+        if self.timers.due(due.token, now):
+            self._period(now) if due.token == TOKEN_PERIOD else self._pump(now)
+
+    def _customer(self, ask: api.Request, now: float) -> Customer:
+        plan, width = self.settings.plans[ask.plan], max(1.0, ask.width)
+        if (c := self.customers.pop(ask.customer, None)) is None:
+            c = Customer(ask.customer, ask.plan, width, 1.0 / width, max(plan.burst / width, ask.units),
+                         store=plan.burst, filled=now, total_at=now,
+                         count_at=now + self.random.uniform(0.3, 1.0) * COUNT_PERIOD)
+            if self.settings.has_counter and 0.0 < plan.rate * SPARSE < self.settings.most_units * width:
+                c.window = min(FORGET_COUNT, WINDOW * plan.burst / plan.rate)
+        self.customers[ask.customer], c.seen = c, now
+        forget(self.customers, SWEEP, now - FORGET)
+        return c
+
+    def _fill(self, c: Customer, now: float) -> None:
+        plan, most = self.settings.plans[c.plan], self.settings.most_units
+        fill(c, plan, max(plan.burst * c.share, min(plan.burst, most)), max(c.cap or 0.0, most), now)
+
+    def _count(self, c: Customer, units: float, now: float) -> None:
+        """Tell the counter what was asked, once a period, and learn what all ingresses were asked."""
+        c.fresh, c.own = c.fresh + units, c.own + units
+        if self.settings.has_counter and not c.calling and now >= c.count_at:
+            c.calling, c.fresh, c.count_at = c.fresh, 0.0, now + COUNT_PERIOD
+            self.out.append(api.Count(c.key, c.calling, FORGET_COUNT))
+
+    def _counted(self, reply: api.CounterReply, now: float) -> None:
+        ok = reply.status is api.Status.OK and 0.0 <= reply.total < inf
+        if (c := self.customers.get(reply.name)) is None or c.asking:
+            return self._answered(c, reply, ok, now) if c else None
+        added, c.calling, c.fails = c.calling, 0.0, 0 if ok else c.fails + 1
+        if not ok:
+            c.count_at = now + self.random.uniform(0.5, 1.0) * min(BACK_OFF_MOST, COUNT_PERIOD * 2 ** c.fails)
+            c.fresh += added if reply.status is not api.Status.TIMEOUT else 0.0  # it may have been added
+            if now - c.total_at > SILENT_AFTER:  # the even share while the counter is silent
+                c.share, c.ours, c.alls = 1.0 / c.width, 0.0, 0.0
+            return
+        plan, (own, everyone, span) = self.settings.plans[c.plan], new_total(c, reply.total, added, now)
+        if not everyone:  # the first total, or the counter lost its count
+            c.share, c.ours, c.alls = 1.0 / c.width, 0.0, 0.0
+            return
+        self._fill(c, now)
+        unused = max(0.0, 1.0 - everyone / span / plan.rate) / c.width if plan.rate else 0.0
+        keep = 0.5 ** (span / ASKED_HALF)
+        c.ours, c.alls = c.ours * keep + own, c.alls * keep + everyone
+        c.share = max(unused, c.ours / c.alls)
+        c.store = min(plan.burst, max(0.0, c.store + plan.rate * span - everyone))
+        c.level = max(c.store * c.share, min(c.level, self.settings.most_units))
+
+    def _ask_counter(self, t: Try, now: float) -> None:
+        """A sparse customer's try waits for the total of its own call; a counter in trouble is asked less."""
+        plan = self.settings.plans[t.ask.plan]
+        spare = t.ask.is_repeat or plan.over_cost <= 0.0  # needs the answer less
+        if self.random.random() < (max(0.0, 2.0 * self.asking - 1.0) if spare else self.asking):
+            t.customer.asking.append((t, amount := t.ask.units / self.asking))  # for those unasked too
+            self.out.append(api.Count(t.customer.key, amount, t.customer.window))
+            t.not_before = now + 2 * self.settings.counter_timeout  # should the answer never come
+            return self._hold(t, now)
+        odds = self.odds[t.ask.plan][t.ask.is_repeat]  # unasked: by what the others of its plan were told
+        t.inside = False if odds < (1.0 - odds) * plan.over_cost else None
+        self._enter(t, now)
+
+    def _answered(self, c: Customer, reply: api.CounterReply, ok: bool, now: float) -> None:
+        """Let a sparse customer's try in if the window had room when it was asked; soft plans may go on."""
+        t, amount = c.asking.pop(0)
+        quick = ok and reply.latency <= CROWDED * self.settings.counter_timeout
+        asking = self.asking + ASK_GAIN if quick else self.asking * (ASK_EASE if ok else ASK_LOSS)
+        self.asking = min(1.0, max(LEAST_ASKING, asking))
+        t.inside = reply.total - amount < self.settings.plans[c.plan].rate * c.window if ok else None
+        if ok:
+            self.odds[c.plan][t.ask.is_repeat] += LEARN / 2 * (t.inside - self.odds[c.plan][t.ask.is_repeat])
+        c.level = 0.0 if t.inside is False else c.level  # to go by while the counter is silent
+        if self.line.release(t):
+            t.not_before = now
+            self._enter(t, now)
+
+    def _admit(self, ask: api.Request, now: float) -> None:
+        c, cls, plan = self._customer(ask, now), self.settings.classes[ask.cls], self.settings.plans[ask.plan]
+        ends = now + ask.time_left - 2 * PUMP - self.settings.tick  # the last answer that is surely in time
+        t = Try(ask, c, now + min(cls.aim, ask.time_left), ends, cls.worth * plan.price)
+        self.line.open[ask.request], c.worth = t, max(c.worth, t.worth)
+        self._fill(c, now)
+        if c.window:
+            return self._ask_counter(t, now)
+        self._count(c, ask.units, now)
+        self._enter(t, now)
+
+    def _enter(self, t: Try, now: float) -> None:
+        """Send a new try, hold it while its aim can be met, or refuse it at once."""
+        c, ask, plan = t.customer, t.ask, self.settings.plans[t.ask.plan]
+        queued = t.inside is None and c.held > 0.0 and c.level < c.held + ask.units  # others came first
+        if not queued and (self._place(t, now) or ask.request in self.line.held):
+            return
+        need = ask.units + c.held  # and the s until the bucket holds its units and those that wait before it
+        rate = plan.rate * max(c.share, 0.01) if t.inside is None and plan.rate else inf
+        wait = (need - c.level) / rate
+        wait = max(wait, (need - c.ceiling) * c.width / plan.ceiling_rate) if plan.ceiling_rate else wait
+        late = t.inside is False or now + max(0.0, wait) + LATE_MARGIN * self.usual[ask.cls] > t.aim_at
+        self._refuse(t, now, max(wait, c.window / 2)) if late else self._hold(t, now)
+
+    def _place(self, t: Try, now: float) -> bool:
+        """Send the try now if its quota, its cut and a backend allow it."""
+        c, units, plan, inside = t.customer, t.ask.units, self.settings.plans[t.ask.plan], True
+        if not t.charged:
+            self._fill(c, now)
+            if (plan.ceiling_rate and c.ceiling < units) or (c.cap is not None and c.cap_level < min(
+                    units, max(c.cap, self.settings.most_units))):
+                return False
+            room = not plan.rate or (c.level >= units if t.inside is None else t.inside)
+            inside = room and not (plan.open_limit and c.open >= max(1, round(plan.open_limit * c.share)))
+            if not inside and (plan.over_worth <= 0.0 or self.pressed):
+                return False
+        full = now < self.rest_until or self.fleet.out >= max(1.0, self.window if inside else self.window / 2)
+        if full or (b := self._choose(t, now)) is None:
+            return False
+        if not t.charged:
+            c.ceiling, c.cap_level, c.sent = c.ceiling - units, c.cap_level - units, c.sent + units
+            c.level -= min(c.level, units) if inside and plan.rate else 0.0
+            self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
+        self.line.release(t)
+        t.charged, t.picked, t.attempts, work = True, None, t.attempts + 1, self.typical[t.ask.cls]
+        self.fleet.send(b, t, work, self.settings.classes[t.ask.cls].aim, now)
+        self.work += work
+        self._activate(c, now)
+        self.out.append(api.Send(t.ask.request, b.entry.backend))
+        return True
+
+    def _hold(self, t: Try, now: float) -> None:
+        """Keep it until it may be sent, or until its aim or its client can't be met any more."""
+        t.last = min(t.aim_at - LATE_MARGIN * self.usual[t.ask.cls], t.ends)
+        self.line.hold(t)
+        self.out += self.timers.wake(TOKEN_PUMP, min(max(now + PUMP, t.not_before), t.last), now)
+
+    def _pump(self, now: float) -> None:
+        """Release held tries, the highest worth first; end those that can't make it any more."""
+        soonest = inf
+        for t in self.line.by_worth():
+            # Once as much is out as may be, the rest needn't ask: guards the CPU with a long line.
+            if now >= t.not_before and self.fleet.out < max(1.0, self.window) and self._place(t, now):
+                continue
+            if now >= t.last:
+                t.customer.ratios.append(1.0)
+                self._activate(t.customer, now)
+                self._refuse(t, now, 0.0)
+            else:
+                soonest = min(soonest, max(now + PUMP, min(t.not_before, t.last)))
+        self.out += self.timers.wake(TOKEN_PUMP, soonest, now)
+
+    def _refuse(self, t: Try, now: float, wait: float) -> None:
+        """End a try that has nothing out: refused where that promise is true, else failed."""
+        cls = self.settings.classes[t.ask.cls]
+        harmless = self._allowed(t, now) and (t.ran_at is None or cls.effect is api.Effect.SAFE
+                                              or cls.group is api.Group.ALL)
+        advice = min(self.settings.max_advice, wait) if self.settings.may_advise else 0.0
+        self.out.append(api.Refuse(t.ask.request, advice) if harmless else api.Fail(t.ask.request))
+        self.line.end(t.ask.request)
+
+    def _allowed(self, t: Try, now: float) -> bool:
+        """Whether the effect lets this try be sent now; time undoes that while a keyed one waits."""
+        cls = self.settings.classes[t.ask.cls]
+        keyed = cls.effect is api.Effect.KEYED and t.ran_at is not None and now < t.ran_at + cls.window
+        return t.ran_at is None or cls.effect is api.Effect.SAFE or keyed
+
+    def _outcome(self, o: api.Outcome, now: float) -> None:
+        backend, t = self.fleet.known.get(o.backend), self.line.open.get(o.request)
+        if backend is not None and o.request in backend.out:
+            self._learn(backend, o, t, now)
+        if t is not None and (o.status is api.Status.OK or o.ended):
+            aim = self.settings.classes[t.ask.cls].aim
+            t.customer.ratios.append((now - (t.aim_at - aim)) / aim)
+            t.customer.level -= o.true_units - t.ask.units if o.true_units else 0.0  # where units are settled
+            self._activate(t.customer, now)
+            self.line.end(o.request)
+        elif t is not None:
+            if not o.status.never_ran and t.ran_at is None:
+                t.ran_at, t.ran_on = now - o.latency, backend.entry if backend else None
+            t.not_before = now + PAUSE_FULL * t.attempts * (o.status is api.Status.FULL)
+            again = t.ran_at is not None  # as time, effect and a budget against retry storms allow
+            barred = o.status is api.Status.TIMEOUT or self.retries < 1.0 or not self._allowed(t, now)
+            if t.attempts >= self.settings.max_attempts or now >= t.ends or again and barred:
+                self._refuse(t, now, 0.0)
+            else:
+                self.retries -= again
+                if now < t.not_before or not self._place(t, now):
+                    self._hold(t, now)
+        self._pump(now)
+
+    def _roster(self, roster: api.Roster, now: float) -> None:
+        if roster.kind is api.RosterKind.FAILED:
+            return self.out.append(api.Subscribe())
+        self.fleet.follow(roster, self.random, now)
+        self.window = self.window or max(1.0, FIRST_OUT * len(self.fleet.ready) / self.settings.ingresses)
+
+    def _cold_share(self, b: Backend, now: float) -> float:
+        """The least part of its capacity that a backend can do by now; 1 when it is warm."""
+        age = max(0.0, now - b.entry.started_at) if b.entry.started_at > 0.0 else inf
+        grown = min(1.0, age / max(self.settings.ramp_time, self.settings.tick))
+        return self.settings.cold_share + (1.0 - self.settings.cold_share) * grown
+
+    def _choose(self, t: Try, now: float) -> Backend | None:
+        """The backend with the least expected wait, among some at random, that may take this try."""
+        cls, able = self.settings.classes[t.ask.cls], []
+        ready = self.fleet.ready if self._allowed(t, now) else []
+        if t.ran_at is not None and cls.effect is api.Effect.KEYED and cls.group is not api.Group.ALL:
+            ready = same_group(ready, t.ran_on, "zone" if cls.group is api.Group.ZONE else "cell")
+        for pool in (t.picked or (), ready[:CANDIDATES], ready):  # our part of the fleet: few connections
+            able = able or [b for b in pool if b.usable and now >= b.rest_until]
+        lots = sorted((self.random.expovariate(max(b.entry.weight, 1e-3)), i) for i, b in enumerate(able))
+        # Guards against pushing over cold backends, as a sum over all ingresses: a cold one is sent a try
+        # only by a draw by weight, won as seldom as it is cold, and once in half an aim for each try.
+        if lots and now >= t.draw_at and (share := self._cold_share(able[lots[0][1]], now)) < 1.0:
+            t.draw_at = now + cls.aim / 2
+            if self.random.random() < share ** COLD_CAUTION:
+                return able[lots[0][1]]
+        costs = sorted((self._cost(able[i], lot, t, now), i) for lot, i in lots
+                       if self._cold_share(able[i], now) >= 1.0)
+        if not self.probes or t.picked is not None or not costs:
+            return able[costs[0][1]] if costs else None
+        t.picked, t.not_before = [able[i] for _, i in costs[:PROBES]], now + PROBE_WAIT
+        for b in t.picked:
+            self.fleet.probing.setdefault(b.entry.backend, []).append(t)
+            self.out.append(api.Probe(b.entry.backend))
+        return self._hold(t, now)
+
+    def _cost(self, b: Backend, lot: float, t: Try, now: float) -> float:
+        """The work before a new try at this backend, by what is known, over what it can do."""
+        weight, work, held = max(b.entry.weight, 1e-3), self.typical[t.ask.cls], self.usual_held
+        held += (b.reported - held) * 0.5 ** ((now - b.reported_at) / REPORT_HALF)
+        luck = 1.0 if t.picked else 1.0 + self.blind * (lot * weight - 1.0)
+        luck *= NEAR_TIE if b.entry.zone != self.settings.zone else 1.0
+        return luck * self._slow(b, now) * (b.load + work * (1.0 + held)) / weight
+
+    def _slow(self, b: Backend, now: float) -> float:
+        return 1.0 + (b.slow - 1.0) * 0.5 ** ((now - b.slow_at) / SLOW_HALF)
+
+    def _fail(self, b: Backend, now: float) -> None:
+        b.slow, b.slow_at = min(SLOWEST, max(1.0, self._slow(b, now)) * FAILED), now
+
+    def _probed(self, probe: api.ProbeResult, now: float) -> None:
+        if (b := self.fleet.known.get(probe.backend)) is not None:
+            self._report(b, probe.report, now) if probe.status is api.Status.OK else self._fail(b, now)
+        for t in self.fleet.probed(probe.backend):
+            t.not_before = now
+            if t.ask.request in self.line.held and not self._place(t, now):
+                self._hold(t, now)
+
+    def _report(self, b: Backend, values: list[float], now: float) -> None:
+        """Take in a backend's own word on the requests it holds."""
+        told = {k: v for k, v in zip(self.settings.report_fields, values, strict=False) if 0.0 <= v < inf}
+        busy = 1.0 / (1.1 - min(1.0, told.get("util", 0.0))) - 1.0 / 1.1
+        held = max(told.get("inflight", 0.0), told.get("queue", 0.0), busy)
+        self.usual_held += LEARN / 4 * (held - self.usual_held) if told else 0.0
+        # Where nothing is told: guards against reports that stop just from the busy ones.
+        b.reported, b.reported_at = held if told else max(b.reported, 2.0 * self.usual_held), now
+
+    def _learn(self, b: Backend, o: api.Outcome, t: Try | None, now: float) -> None:
+        self.fleet.answer(b, o.request)
+        self._report(b, o.report, now) if o.report else None
+        if o.status is api.Status.FULL:
+            b.rest_until = now + 2 * PAUSE_FULL
+            self._press(1.0, 0.0, now)
+        elif o.status is api.Status.OK and t is not None and 0.0 <= o.latency < inf:
+            cls, aim, slow, b.fails = t.ask.cls, self.settings.classes[t.ask.cls].aim, self._slow(b, now), 0
+            gap = o.latency - self.typical[cls]
+            if self._cold_share(b, now) >= 1.0:
+                self.typical[cls] += gap * (SLOWER if gap > 0 else FASTER)
+            self.usual[cls] += LEARN * (min(o.latency, aim / 2 / LATE_MARGIN) - self.usual[cls])
+            b.slow, b.slow_at = slow + LEARN * (o.latency / self.typical[cls] - slow), now
+            self._press(o.latency / aim - min(TARGET, self.typical[cls] / aim), o.latency, now)
+        elif o.status not in (api.Status.OK, api.Status.CANCELLED, api.Status.MOOT):
+            self._fail(b, now)
+            b.fails, b.rest_until = b.fails + 1, now + min(REST_MOST, 2 * PUMP * 2.0 ** b.fails)
+
+    def _press(self, ratio: float, latency: float, now: float) -> None:
+        """More attempts may be out while little of the aim is lost to crowding; under one, we rest."""
+        # Counts what comes very late as one aim: guards against a few stalled backends that stop us all.
+        self.pressure += LEARN * (min(1.0, ratio) - self.pressure)
+        if self.pressure <= TARGET and self.fleet.out + 1 >= self.window:
+            self.window += min(self.window, 1.0 / self.window)
+        elif self.pressure > TARGET and now - self.cut_at > latency:
+            self.window, self.cut_at = max(LEAST_OUT, self.window * WINDOW_CUT), now
+        self.rest_until = now + min(REST_MOST, latency * max(0.0, 1.0 / self.window - 1.0))
+
+    def _activate(self, c: Customer, now: float) -> None:
+        self.active[c.key] = c
+        if TOKEN_PERIOD not in self.timers.at:
+            self.period_at = now
+            self.out += self.timers.wake(TOKEN_PERIOD, now + PERIOD, now)
+
+    def _period(self, now: float) -> None:
+        span, self.period_at = max(1e-6, now - self.period_at), now
+        # Guards against a back end that slows or stalls: its answers tell only once they come.
+        ages = sorted(self.fleet.ages(now))
+        if ages and (age := ages[len(ages) // 2]) > max(TARGET, self.pressure):
+            self._press(age, PERIOD, now)
+        self._regulate(now, span)
+        self.active = {k: c for k, c in self.active.items() if c.cap is not None or c.rate > IDLE_RATE}
+        if self.active or self.fleet.busy:
+            self.out += self.timers.wake(TOKEN_PERIOD, now + PERIOD, now)
+
+    def _regulate(self, now: float, span: float) -> None:
+        """Place the customers, take a step of the cut while one fails, else give room back."""
+        rate, self.work, ratios = self.work / span, 0.0, []
+        regions: dict[str, list[Customer]] = {name: [] for pair in REGIONS for name in pair}
+        for c in sorted(self.active.values(), key=lambda c: (c.worth, c.key)):
+            if c.ratios:
+                c.ratio = RATE_MEMORY * c.ratio + (1 - RATE_MEMORY) * sum(c.ratios) / len(c.ratios)
+            c.rate = RATE_MEMORY * c.rate + (1 - RATE_MEMORY) * c.sent / span
+            if c.ratios or c.sent:
+                over = c.rate > self.settings.plans[c.plan].rate * c.share + 1e-9
+                regions[REGIONS[over][c.ratio > 1.0]].append(c)
+            ratios += c.ratios
+            c.ratios, c.sent = [], 0.0
+        seen = sum(ratios) / len(ratios) if ratios else 0.0
+        # Steps scale with the confidence in the fit when it is high enough; else they are constant.
+        step = STEP * min(FULL_STEP, max(1.0, self.fit.at(rate)[1] / CONFIDENT))
+        worst = max((c.ratio for c in regions["failed"]), default=0.0)
+        self.pressed = bool(regions["failed"])
+        if not self.pressed:
+            self.cut = None
+            self._return(step)
+        elif self.cut is None or (self.cut.steps + 1 >= STEPS and self._afresh(regions, worst, seen)):
+            self.cut = self._decide(regions, worst, rate, step)
+        else:
+            self.cut.steps += 1
+        for c, amount in self.cut.takes if self.cut else ():
+            c.cap = max(0.0, (c.rate if c.cap is None else min(c.cap, c.rate)) - amount)
+        self.fit.add(rate, seen, FIT_MEMORY) if ratios else None
+
+    def _afresh(self, regions: dict[str, list[Customer]], worst: float, seen: float) -> bool:
+        """The paper's four reasons to leave a decision after m steps."""
+        cut, active = self.cut, [c for group in regions.values() for c in group]
+        changes = [(c.rate, cut.rates[c.key]) for c in active if c.key in cut.rates] + [(seen, cut.predicted)]
+        return (worst > cut.worst or any(c.key not in cut.lucky for c in regions["lucky"])
+                or any(not 1 / CHANGE <= (a + 0.01) / (b + 0.01) <= CHANGE for a, b in changes))
+
+    def _decide(self, regions: dict[str, list[Customer]], worst: float, rate: float, step: float) -> Cut:
+        """Whom to cut: lucky, then exceeded, then meet while several plans fail; the least worth first."""
+        missing, takes = step * sum(c.rate for c in self.active.values()), []
+        several = len({c.plan for c in regions["failed"]}) > 1
+        for c in regions["lucky"] + regions["exceeded"] + (regions["meet"] if several else []):
+            take = min(missing, MOST_CUT * step * c.rate)
+            missing -= take
+            takes.append((c, take))
+            if missing <= 0.0:
+                break
+        return Cut(takes, worst, {c.key: c.rate for c in self.active.values()},
+                   {c.key for c in regions["lucky"]}, self.fit.at(rate * (1.0 - step))[0])
+
+    def _return(self, step: float) -> None:
+        """Give unused room back by worth; no rate falls below its average."""
+        cut = [c for c in self.active.values() if c.cap is not None]
+        room = RETURN * step * sum(self.settings.plans[c.plan].rate * c.share for c in cut)
+        for c in sorted(cut, key=lambda c: (-c.worth, c.key)):
+            rate = self.settings.plans[c.plan].rate * c.share
+            give = min(room, MOST_CUT * RETURN * step * rate)
+            c.cap, room = max(c.cap, c.rate) + give, room - give
+            c.cap = c.cap if c.cap < rate else None
--- /dev/null
+++ b/fennelpoint/state.py
@@ -0,0 +1,92 @@
+"""What one ingress remembers: plain records, which `control.py` fills and reads.
+Nothing is decided here."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from fennelpoint.interface import BackendEntry, BackendState, Request
+
+
+@dataclass(slots=True, eq=False)
+class Backend:
+    entry: BackendEntry
+    rank: float             # its place in the order of this ingress: each has another one
+    slow_at: float          # when its slowness was last brought up to date
+    out: dict[int, tuple[float, float, float, Customer]] = field(default_factory=dict)
+    # attempts out, by request: work, sent at, aim, customer
+    load: float = 0.0       # work out
+    slow: float = 1.0       # latency over the class's typical one; failures add to it
+    reported: float = 0.0   # requests it holds, by its own word
+    reported_at: float = -1e9
+    fails: int = 0          # attempts in a row that failed
+    rest_until: float = 0.0 # nothing is sent before
+
+
+    @property
+    def usable(self) -> bool:
+        """Whether the roster lets us send to it."""
+        return self.entry.state is BackendState.READY
+
+
+@dataclass(slots=True, eq=False)
+class Customer:
+    key: int
+    plan: int
+    width: float            # ingresses that its requests come through
+    share: float            # of the quota, held here
+    level: float            # units in the bucket
+    store: float            # units in the quota's store of all ingresses, as far as the counter tells
+    filled: float
+    total_at: float         # when the last total came
+    count_at: float         # when the counter may be called next
+    seen: float = 0.0
+    total: float | None = None
+    window: float = 0.0     # s that a sparse customer's asks are counted over; 0: it is not sparse
+    asking: list[tuple[Try, float]] = field(default_factory=list)  # tries whose call is out, and its amount
+    fails: int = 0          # calls in a row without an answer
+    fresh: float = 0.0      # asked since the last call
+    own: float = 0.0        # asked since the last total
+    ours: float = 0.0       # asked here, fading
+    alls: float = 0.0       # asked everywhere, fading
+    calling: float = 0.0    # told by the call that is out
+    ceiling: float = 0.0    # units under the ceiling
+    open: int = 0           # attempts out
+    held: float = 0.0       # units waiting
+    sent: float = 0.0       # units this period
+    rate: float = 0.0       # average units a second sent
+    ratio: float = 0.0      # average latency over aim
+    ratios: list[float] = field(default_factory=list)  # latencies over aim this period
+    worth: float = 0.0
+    cap: float | None = None    # units a second while it is cut
+    cap_level: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Try:
+    ask: Request
+    customer: Customer
+    aim_at: float
+    ends: float
+    worth: float
+    attempts: int = 0
+    charged: bool = False           # its units were taken
+    inside: bool | None = None      # the quota, by the answer of its own counter call
+    ran_at: float | None = None     # send time of the first attempt that may have run
+    ran_on: BackendEntry | None = None
+    not_before: float = 0.0
+    last: float = 0.0               # when it is ended if it still waits
+    picked: list[Backend] | None = None  # backends probed for it
+    draw_at: float = 0.0            # when it may draw a cold backend again
+
+
+@dataclass(slots=True, eq=False)
+class Cut:
+    """A decision: what each step takes off whom, and how things stood when it was made."""
+
+    takes: list[tuple[Customer, float]]
+    worst: float
+    rates: dict[int, float]
+    lucky: set[int]
+    predicted: float
+    steps: int = 0
--- /dev/null
+++ b/fennelpoint/upkeep.py
@@ -0,0 +1,162 @@
+"""Bookkeeping that decides nothing: timers, the waiting line, the fleet as the roster tells it.
+
+`control.py` says what is due, what waits and what is sent; these classes only keep the records straight.
+"""
+
+from __future__ import annotations
+
+from itertools import islice
+from math import inf
+from random import Random
+
+from fennelpoint import interface as api
+from fennelpoint.state import Backend, Customer, Try
+
+
+class Timers:
+    """One timer for each token: the soonest that was asked for; those that it replaced are stale."""
+
+    def __init__(self, tick: float) -> None:
+        self.tick = tick
+        self.at: dict[int, float] = {}
+
+    def wake(self, token: int, at: float, now: float) -> list[api.Action]:
+        """The timer to set so that the token is due by then; none if one is due sooner."""
+        if at >= self.at.get(token, inf):
+            return []
+        self.at[token] = at
+        return [api.SetTimer(max(at - now, self.tick), token)]
+
+    def due(self, token: int, now: float) -> bool:
+        """Whether a timer that rings is not a stale one."""
+        if now < self.at.get(token, inf) - self.tick:
+            return False
+        del self.at[token]
+        return True
+
+
+class Line:
+    """The open tries, those among them that wait, and the units that each customer has waiting."""
+
+    def __init__(self) -> None:
+        self.open: dict[int, Try] = {}
+        self.held: dict[int, Try] = {}
+
+    def hold(self, t: Try) -> None:
+        if t.ask.request not in self.held:
+            self.held[t.ask.request] = t
+            t.customer.held += t.ask.units
+
+    def release(self, t: Try) -> bool:
+        """Whether it was waiting."""
+        if self.held.pop(t.ask.request, None) is None:
+            return False
+        t.customer.held = max(0.0, t.customer.held - t.ask.units)
+        return True
+
+    def end(self, request: int) -> None:
+        if (t := self.open.pop(request, None)) is not None:
+            self.release(t)
+
+    def by_worth(self) -> list[Try]:
+        return sorted(self.held.values(), key=lambda t: (-t.worth, t.ask.request))
+
+
+class Fleet:
+    """The backends that the roster names, with what is out at them."""
+
+    def __init__(self) -> None:
+        self.known: dict[object, Backend] = {}
+        self.ready: list[Backend] = []          # those that something may be sent to, in an order of our own
+        self.busy: dict[object, Backend] = {}   # those with attempts out
+        self.out = 0                            # attempts out at all of them
+        self.probing: dict[object, list[Try]] = {}  # tries that wait for a backend's own word
+
+    def follow(self, roster: api.Roster, random: Random, now: float) -> None:
+        """Take in a list or its changes; a start that was not known is a new backend."""
+        if roster.kind is not api.RosterKind.CHANGES:
+            named = {e.backend for e in roster.entries}
+            for key, b in self.known.items():
+                b.entry.state = b.entry.state if key in named else api.BackendState.GONE
+        for e in roster.entries:
+            old = self.known.get(e.backend)
+            if old is None or (e.state is api.BackendState.READY and e.started_at != old.entry.started_at):
+                new = self.known[e.backend] = Backend(e, random.random(), now)
+                if old is not None:  # what was out there before its restart may still be answered
+                    new.rank, new.out, new.load = old.rank, old.out, old.load
+                    self.busy.update({e.backend: new} if new.out else {})
+            else:
+                old.entry = e
+        for b in [b for b in self.known.values() if b.entry.state is api.BackendState.GONE and not b.out]:
+            del self.known[b.entry.backend]
+        self.ready = sorted((b for b in self.known.values() if b.usable), key=lambda b: b.rank)
+
+    def send(self, b: Backend, t: Try, work: float, aim: float, now: float) -> None:
+        b.out[t.ask.request] = (work, now, aim, t.customer)
+        b.load, self.busy[b.entry.backend] = b.load + work, b
+        t.customer.open += 1
+        self.out += 1
+
+    def answer(self, b: Backend, request: int) -> None:
+        """An attempt is not out any more, also where the client has left meanwhile."""
+        work, _, _, customer = b.out.pop(request)
+        customer.open -= 1
+        self.out -= 1
+        b.load = max(0.0, b.load - work) if b.out else 0.0
+        if not b.out:
+            self.busy.pop(b.entry.backend, None)
+
+
+    def probed(self, backend: object) -> list[Try]:
+        """The tries for which this was the last probe to be answered."""
+        tries = self.probing.pop(backend, ())
+        return [t for t in tries if t.picked and all(b.entry.backend not in self.probing for b in t.picked)]
+
+    def ages(self, now: float) -> list[float]:
+        """How long each attempt is out, over its class's aim."""
+        return [(now - sent) / aim for b in self.busy.values() for _, sent, aim, _ in b.out.values()]
+
+
+class Sums:
+    """The sums of a running least-squares fit, in which the past fades."""
+
+    def __init__(self) -> None:
+        self.n = self.x = self.y = self.xx = self.xy = self.yy = 0.0
+
+    def add(self, x: float, y: float, memory: float) -> None:
+        """One more point; `memory` is the weight of those before."""
+        for name, value in (("n", 1.0), ("x", x), ("y", y), ("xx", x * x), ("xy", x * y), ("yy", y * y)):
+            setattr(self, name, getattr(self, name) * memory + value)
+
+
+def fill(c: Customer, plan: api.Plan, depth: float, cap_depth: float, now: float) -> None:
+    """Bring a customer's buckets up to now: its slice, its part of the ceiling, its cut."""
+    span, c.filled = now - c.filled, now
+    c.level = min(max(depth, c.level), c.level + plan.rate * c.share * span)
+    c.ceiling = min(plan.ceiling_burst / c.width, c.ceiling + plan.ceiling_rate / c.width * span)
+    if c.cap is not None:
+        c.cap_level = min(cap_depth, c.cap_level + c.cap * span)
+
+
+def same_group(backends: list[Backend], entry: api.BackendEntry | None, part: str) -> list[Backend]:
+    """Those of the same zone or cell; none where that is not known."""
+    return [b for b in backends if entry is not None and getattr(b.entry, part) == getattr(entry, part)]
+
+
+def new_total(c: Customer, total: float, added: float, now: float) -> tuple[float, float, float]:
+    """What was asked here and everywhere since the last total, and how long ago that was.
+
+    Nothing was asked everywhere where there is no last total to compare with: at the first one, or when
+    the counter has lost its count.
+    """
+    span, everyone = now - c.total_at, total - c.total if c.total is not None else -1.0
+    own, c.own, c.total, c.total_at = c.own - c.fresh, c.fresh, total, now
+    compares = span > 0.0 and own > 0.0 and everyone >= added - 0.01
+    return own, max(everyone, own) if compares else 0.0, span
+
+
+def forget(customers: dict[int, Customer], most: int, before: float) -> None:
+    """Drop customers that nothing was heard of since then, looking at the longest unseen ones only."""
+    for c in list(islice(customers.values(), most)):
+        if c.seen < before and not c.open and not c.held and c.cap is None:
+            del customers[c.key]
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,213 @@
+"""Choice of backend: expected wait, stalls, fast errors, black holes, full queues."""
+
+import pytest
+from conftest import READY, SAFE, World, kinds, make_settings
+
+from fennelpoint import control
+from fennelpoint import interface as api
+
+
+def drive(world: World, seconds: float, per_second: int, reply) -> dict[str, int]:
+    """Open-loop traffic; `reply(backend)` gives status and latency, or None for no answer at all."""
+    sent: dict[str, int] = {}
+    due: list[tuple[float, int, str, float, api.Status, int]] = []
+    tries: dict[int, int] = {}
+
+    def note(actions: list) -> None:
+        for a in actions:
+            if isinstance(a, api.Send):
+                sent[a.backend] = sent.get(a.backend, 0) + 1
+                tries[a.request] = tries.get(a.request, -1) + 1
+                if (answer := reply(a.backend)) is not None:
+                    status, latency = answer
+                    due.append((world.now + latency, a.request, a.backend, latency, status, tries[a.request]))
+
+    for step in range(int(seconds * per_second) + per_second):
+        if step < seconds * per_second:
+            note(world.ask(customer=1000 + step))
+        note(world.wait(1.0 / per_second))
+        for item in sorted(d for d in due if d[0] <= world.now):
+            due.remove(item)
+            _, request, backend, latency, status, attempt = item
+            note(world.answer(request, backend, status, latency, attempt))
+    return sent
+
+
+def three() -> World:
+    world = World(make_settings())
+    world.backends("a", "b", "c")
+    return world
+
+
+def test_load_is_spread_over_equals():
+    sent = drive(three(), 4.0, 20, lambda b: (api.Status.OK, 0.1))
+    assert min(sent.values()) > 15
+
+
+def test_slow_backend_gets_less():
+    sent = drive(three(), 6.0, 20, lambda b: (api.Status.OK, 0.4 if b == "a" else 0.1))
+    assert sent["a"] < 0.6 * sent["b"]
+
+
+def test_fast_errors_do_not_look_fast():
+    sent = drive(three(), 6.0, 20, lambda b: (api.Status.ERROR, 0.005) if b == "a" else (api.Status.OK, 0.1))
+    assert sent["a"] < 0.2 * sent["b"]
+
+
+def test_black_hole_gets_little():
+    sent = drive(three(), 6.0, 20, lambda b: None if b == "a" else (api.Status.OK, 0.1))
+    assert sent["a"] <= 6
+
+
+def test_refused_connects_are_passed_over():
+    sent = drive(three(), 6.0, 20,
+                 lambda b: (api.Status.CONNECT_FAILED, 0.25) if b == "a" else (api.Status.OK, 0.1))
+    assert sent["a"] < 0.25 * sent["b"]
+
+
+def test_trust_returns_when_the_trouble_passes():
+    world = three()
+    drive(world, 4.0, 20, lambda b: (api.Status.ERROR, 0.005) if b == "a" else (api.Status.OK, 0.1))
+    world.wait(4 * control.SLOW_HALF)
+    sent = drive(world, 5.0, 20, lambda b: (api.Status.OK, 0.1))
+    assert sent["a"] > 0.5 * sent["b"]
+
+
+def test_if_all_look_bad_all_are_used():
+    world = three()
+    for b in world.control.fleet.ready:
+        world.control._fail(b, world.now)
+    pool = {a.backend for i in range(12) for a in world.ask(customer=i) if isinstance(a, api.Send)}
+    assert pool == {"a", "b", "c"}
+
+
+def test_back_end_that_slows_is_held_to_fewer_attempts_before_it_answers():
+    """Attempts still out count as pressure: answers of a jammed back end come too late to learn from."""
+    world = World(make_settings())
+    world.backends("a")
+    drive(world, 2.0, 10, lambda b: (api.Status.OK, 0.1))
+    before = world.control.window
+    drive(world, 3.0, 10, lambda b: None)
+    assert world.control.window < 0.7 * before
+
+
+def test_window_grows_while_answers_are_quick_and_shrinks_while_they_are_late():
+    world = World(make_settings())
+    world.backends("a")
+    world.control.window = 4.0
+    drive(world, 4.0, 60, lambda b: (api.Status.OK, 0.1))
+    grown = world.control.window
+    assert grown > 5.0
+    drive(world, 6.0, 60, lambda b: (api.Status.OK, 0.6))
+    assert world.control.window < 0.7 * grown
+
+
+def test_ingress_rests_while_its_window_is_under_one_attempt():
+    """One attempt from each of many ingresses can still be too much (incident ia57e96)."""
+    world = World(make_settings())
+    world.backends("a", "b")
+    world.control.window, world.control.pressure = 0.5, 1.0
+    (send,) = world.ask()
+    world.now += 1.0
+    world.answer(send.request, send.backend, latency=1.0)
+    assert world.ask(customer=2) == []
+    assert world.now < world.control.rest_until <= world.now + control.REST_MOST
+
+
+def test_few_stalled_backends_do_not_close_the_window():
+    """An attempt that ends at its deadline counts as one aim, not as the many that it took (ifac48f)."""
+    world = World(make_settings())
+    world.backends("a")
+    for latency in (40.0, 0.1, 0.1, 0.1, 0.1, 0.1):
+        world.control._press(latency, latency, world.now)
+    assert world.control.pressure <= control.TARGET
+
+
+def test_large_fleet_is_used_in_part_and_in_whole_when_that_part_is_away():
+    """Hundreds of ingresses with a connection to every backend are more than these accept (icf8f53)."""
+    world = World(make_settings())
+    names = [f"b{i:03}" for i in range(100)]
+    world.backends(*names)
+    used = set()
+    for customer in range(200):
+        for a in world.ask(customer=customer):
+            used.add(a.backend)
+            world.answer(a.request, a.backend)
+    assert len(used) == control.CANDIDATES
+    for name in used:
+        world.control.fleet.known[name].rest_until = world.now + 9.0
+    (send,) = world.ask(customer=999)
+    assert send.backend not in used
+
+
+def test_same_zone_wins_near_ties():
+    world = World(make_settings())
+    world.roster(api.BackendEntry("far", READY, zone=1), api.BackendEntry("near", READY, zone=0))
+    near, far = (world.control.fleet.known[name] for name in ("near", "far"))
+    t = control.Try(api.Request(1, SAFE, 0, 1, 4.0, 1.0, 2.0, 0.0), None, 0.0, 0.0, 1.0)
+    cost = [world.control._cost(b, 1.0, t, world.now) for b in (near, far)]
+    assert cost[1] == pytest.approx(control.NEAR_TIE * cost[0])
+    near.load += 1.0
+    assert world.control._cost(near, 1.0, t, world.now) > cost[1]  # no tie any more
+
+
+@pytest.mark.parametrize("via", ["none", "answers", "probe"])
+def test_works_with_any_reports_or_none(via):
+    world = World(make_settings(report_via=via, report_fields=["queue", "util"]))
+    world.backends("a")
+    (send,) = world.ask(cls=SAFE)
+    world.give(api.Outcome(send.request, 0, "a", api.Status.OK, 0.1, True, report=[1.0, 0.5]))
+    assert kinds(world.ask(customer=2)) == [api.Send]
+
+
+def test_random_part_keeps_ingresses_from_choosing_alike():
+    """Many ingresses with the same view must not all send to the first name (incident ibf6ee8)."""
+    first = set()
+    for seed in range(12):
+        world = World(make_settings())
+        world.control.random.seed(seed)
+        world.backends("a", "b", "c")
+        first.add(world.ask()[0].backend)
+    assert len(first) > 1
+
+
+def test_many_ingresses_hold_a_backend_to_a_share_of_one_first_guess():
+    for ingresses in (2, 12):
+        world = World(make_settings(ingresses=ingresses))
+        world.backends("a")
+        sent = sum(api.Send in kinds(world.ask(customer=i)) for i in range(30))
+        assert sent == max(1, int(control.FIRST_OUT / ingresses))
+
+
+def test_failures_in_a_row_make_a_backend_rest_even_where_most_look_bad():
+    """A dead zone refuses connects within milliseconds; it must not be hammered (incident i738455)."""
+    sent = drive(three(), 4.0, 20, lambda b: (api.Status.CONNECT_FAILED, 0.005) if b != "a" else None)
+    assert sent["b"] + sent["c"] < 40
+
+
+def test_full_backend_is_left_alone_for_a_moment():
+    world = World(make_settings())
+    world.backends("a")
+    (send,) = world.ask()
+    assert api.Send not in kinds(world.answer(send.request, "a", api.Status.FULL, 0.001))
+    assert api.Send in kinds(world.wait(0.2))
+
+
+def test_backend_slowed_by_half_while_another_starts_cold():
+    """Overlapping troubles: the warm one carries most, the cold one gets its share, all is answered."""
+    world = three()
+    drive(world, 4.0, 20, lambda b: (api.Status.OK, 0.1))
+    world.roster(api.BackendEntry("c", READY, started_at=world.now), kind=api.RosterKind.CHANGES)
+    sent = drive(world, 3.0, 20, lambda b: (api.Status.OK, 0.2 if b == "a" else 0.1))
+    assert sent["b"] > sent["a"] > 0 and sent["c"] < 0.5 * sent["b"]
+    world.wait(5.0)
+    assert not world.control.line.open
+
+
+def test_stale_roster_names_a_dead_backend():
+    """The cached list at start may name what is gone: refused connects move the work on."""
+    world = World(make_settings())
+    world.roster(*(api.BackendEntry(n, READY) for n in "abc"), kind=api.RosterKind.CACHED)
+    sent = drive(world, 5.0, 20,
+                 lambda b: (api.Status.CONNECT_FAILED, 0.002) if b == "a" else (api.Status.OK, 0.1))
+    assert sent["a"] < 0.2 * sent["b"] and not world.control.line.open
--- /dev/null
+++ b/tests/test_design.py
@@ -0,0 +1,164 @@
+"""The design's mechanism: the fit, the regions and the order of cuts, deciding afresh, room given back."""
+
+import pytest
+from conftest import HARD, SOFT, World, make_settings
+
+from fennelpoint import control
+from fennelpoint.control import Fit
+from fennelpoint.state import Cut
+
+
+def fit_of(*points: tuple[float, float], memory: float = control.FIT_MEMORY) -> Fit:
+    fit = Fit()
+    for x, y in points:
+        fit.add(x, y, memory)
+    return fit
+
+
+LINE = ((1.0, 2.0), (2.0, 3.0), (3.0, 5.0), (4.0, 6.0))
+
+
+def test_fit_against_hand_computed_values():
+    fit = fit_of(*LINE, memory=1.0)
+    # means 2.5 and 4, sum of squares about the mean 5, of products 7: slope 1.4, intercept 0.5
+    assert fit.at(0.0)[0] == pytest.approx(0.5)
+    # residues 0.1, -0.3, 0.3, -0.1: their squares add to 0.2, S = sqrt(0.2 / 2)
+    # S_p at 5 = sqrt(0.1 * (1 + 1/4 + 2.5**2 / 5)) = sqrt(0.25)
+    assert fit.at(5.0) == (pytest.approx(7.5), pytest.approx(2.0))
+
+
+def test_confidence_is_less_far_from_what_was_seen():
+    fit = fit_of(*LINE)
+    assert fit.at(2.5)[1] > fit.at(6.0)[1] > fit.at(20.0)[1] > 0.0
+
+
+def test_no_confidence_without_two_rates():
+    assert fit_of(*[(3.0, 0.4)] * 5).at(9.0) == (pytest.approx(0.4), 0.0)
+    assert Fit().at(1.0) == (0.0, 0.0)
+
+
+def customer(world: World, key: int, plan: int, rate: float, ratio: float, worth: float):
+    """A customer as the end of a period finds it."""
+    world.ask(plan=plan, customer=key)
+    c = world.control.customers[key]
+    world.control.active[key] = c
+    c.rate, c.sent, c.ratio, c.ratios, c.worth = rate, rate * control.PERIOD, ratio, [ratio], worth
+    return c
+
+
+@pytest.fixture
+def quiet() -> World:
+    return World(make_settings())  # without a backend: nothing but the regulator changes anything
+
+
+def regulate(world: World) -> None:
+    world.control._regulate(world.now, control.PERIOD)
+
+
+def cut_keys(world: World) -> list[int]:
+    return [c.key for c, _ in world.control.cut.takes]
+
+
+def test_nobody_is_cut_while_nobody_fails(quiet):
+    customer(quiet, 1, SOFT, rate=50.0, ratio=0.5, worth=1.0)
+    customer(quiet, 2, HARD, rate=50.0, ratio=2.0, worth=1.0)  # exceeded: over quota and late
+    regulate(quiet)
+    assert quiet.control.cut is None
+
+
+def test_candidates_go_lucky_exceeded_by_least_worth_and_meet_stays(quiet):
+    customer(quiet, 1, HARD, rate=1.0, ratio=2.0, worth=1.0)    # failed
+    customer(quiet, 2, SOFT, rate=5.0, ratio=0.5, worth=4.0)    # lucky, dear
+    customer(quiet, 3, SOFT, rate=4.0, ratio=0.5, worth=2.0)    # lucky, cheap
+    customer(quiet, 4, HARD, rate=3.0, ratio=2.0, worth=1.0)    # exceeded
+    customer(quiet, 5, HARD, rate=1.9, ratio=0.5, worth=0.1)    # meet
+    customer(quiet, 6, HARD, rate=200.0, ratio=2.0, worth=9.0)  # exceeded: makes the step large
+    regulate(quiet)
+    assert cut_keys(quiet) == [3, 2, 4, 6]
+
+
+def test_meet_is_cut_only_while_customers_of_several_plans_miss_their_aim(quiet):
+    customer(quiet, 1, HARD, rate=1.0, ratio=2.0, worth=1.0)
+    meet = customer(quiet, 5, HARD, rate=1.9, ratio=0.5, worth=0.1)
+    regulate(quiet)
+    assert cut_keys(quiet) == [] and meet.cap is None
+    quiet.control.cut = None
+    customer(quiet, 2, SOFT, rate=1.0, ratio=2.0, worth=2.0)
+    customer(quiet, 1, HARD, rate=1.0, ratio=2.0, worth=1.0)
+    customer(quiet, 5, HARD, rate=1.9, ratio=0.5, worth=0.1)
+    regulate(quiet)
+    assert cut_keys(quiet) == [5] and meet.cap < 1.9
+
+
+def test_a_step_takes_its_share_of_the_rate(quiet):
+    customer(quiet, 1, HARD, rate=10.0 / 6, ratio=2.0, worth=1.0)
+    lucky = customer(quiet, 2, SOFT, rate=50.0 / 6, ratio=0.5, worth=2.0)
+    total = 10.0  # units a second
+    regulate(quiet)
+    assert quiet.control.cut.takes[0][1] == pytest.approx(control.STEP * total)
+    assert lucky.cap == pytest.approx(lucky.rate - control.STEP * total)
+
+
+def test_steps_scale_with_confidence(quiet):
+    for i in range(40):
+        quiet.control.fit.add(10.0 + i % 5, 0.2 + 0.01 * (i % 5), control.FIT_MEMORY)  # a sharp fit
+    quiet.control.work = 12.0 * control.PERIOD
+    customer(quiet, 1, HARD, rate=10.0 / 6, ratio=2.0, worth=1.0)
+    customer(quiet, 2, SOFT, rate=50.0 / 6, ratio=0.5, worth=2.0)
+    regulate(quiet)
+    assert quiet.control.cut.takes[0][1] == pytest.approx(control.FULL_STEP * control.STEP * 10.0)
+
+
+def regions_of(world: World, **groups):
+    return {"lucky": [], "exceeded": [], "meet": [], "failed": [], **groups}
+
+
+def test_reasons_to_decide_afresh(quiet):
+    c = customer(quiet, 1, SOFT, rate=2.0, ratio=0.5, worth=1.0)
+    made = Cut([], worst=1.5, rates={1: 2.0}, lucky={1}, predicted=0.5)
+    quiet.control.cut = made
+    afresh = quiet.control._afresh
+    steady = regions_of(quiet, lucky=[c])
+    assert not afresh(steady, worst=1.4, seen=0.5)
+    assert afresh(steady, worst=1.6, seen=0.5)          # the failing latency rose
+    made.lucky.clear()
+    assert afresh(steady, worst=1.4, seen=0.5)          # a candidate turned lucky
+    made.lucky.add(1)
+    c.rate = 4.2
+    assert afresh(steady, worst=1.4, seen=0.5)          # a rate doubled
+    c.rate = 2.0
+    assert afresh(steady, worst=1.4, seen=1.2)          # seen latency is twice the predicted
+
+
+def test_decision_stands_for_m_steps(quiet):
+    first = None
+    for step in range(control.STEPS):
+        customer(quiet, 1, HARD, rate=1.0, ratio=2.0 + step, worth=1.0)
+        customer(quiet, 2, SOFT, rate=5.0, ratio=0.5, worth=2.0)
+        regulate(quiet)
+        first = first or quiet.control.cut
+        if step < control.STEPS - 1:
+            assert quiet.control.cut is first
+    customer(quiet, 1, HARD, rate=1.0, ratio=9.0, worth=1.0)
+    regulate(quiet)
+    assert quiet.control.cut is not first
+
+
+def test_room_goes_back_by_worth_and_not_below_the_average(quiet):
+    dear = customer(quiet, 1, SOFT, rate=0.5, ratio=0.5, worth=4.0)
+    cheap = customer(quiet, 2, HARD, rate=1.5, ratio=0.5, worth=1.0)
+    dear.cap, cheap.cap = 0.1, 0.1
+    regulate(quiet)
+    assert dear.cap > dear.rate and cheap.cap >= cheap.rate
+    for _ in range(40):
+        regulate(quiet)
+    assert dear.cap is None and cheap.cap is None  # both back at their slices
+
+
+def test_cut_customer_recovers_within_seconds_once_nobody_fails(quiet):
+    """A crushed rate must not set the pace of its own recovery (incident i82d844)."""
+    c = customer(quiet, 1, HARD, rate=0.0, ratio=0.5, worth=1.0)
+    c.cap = 0.0
+    for _ in range(int(10.0 / control.PERIOD)):
+        regulate(quiet)
+    assert c.cap is None
--- /dev/null
+++ b/tests/test_library.py
@@ -0,0 +1,55 @@
+"""The library as a new user meets it: the README's example, and settings that can't work."""
+
+import ast
+import re
+from pathlib import Path
+
+import pytest
+from conftest import make_settings
+
+from fennelpoint import Controller
+from fennelpoint import interface as api
+
+README = Path(__file__).parent.parent / "README.md"
+
+
+def test_example_of_the_readme_runs_as_printed(capsys):
+    text = README.read_text()
+    (example,) = re.findall(r"```python\n(.*?)```", text, re.DOTALL)
+    exec(compile(ast.parse(example), "README.md", "exec"), {})
+    printed = capsys.readouterr().out.splitlines()
+    (said,) = re.findall(r"second line printed is `(.*)`", text)
+    assert printed[1] == said
+
+
+READ = api.RequestClass("read", aim=1.0, deadline=4.0, worth=1.0, effect=api.Effect.SAFE)
+
+
+@pytest.mark.parametrize("changes, says", [
+    (dict(classes=[]), "classes"),
+    (dict(plans=[]), "plans"),
+    (dict(ingresses=0), "ingresses"),
+    (dict(max_attempts=0), "max_attempts"),
+    (dict(tick=float("nan")), "tick"),
+    (dict(cold_share=-0.1), "cold_share"),
+    (dict(classes=[READ, api.RequestClass("slow", 5.0, 4.0, 1.0, api.Effect.SAFE)]), r"classes\[1\].aim"),
+    (dict(plans=[api.Plan("basic", price=1.0, rate=-1.0)]), r"plans\[0\].rate"),
+    (dict(plans=[api.Plan("basic", price=float("inf"))]), r"plans\[0\].price"),
+])
+def test_settings_that_cannot_work_are_refused_by_the_name_of_the_field(changes, says):
+    with pytest.raises(ValueError, match=says):
+        make_settings(**changes)
+
+
+def test_instances_share_nothing_and_same_events_give_same_actions():
+    def run(control: Controller) -> list:
+        entries = [api.BackendEntry(f"b{i}", api.BackendState.READY) for i in range(30)]
+        out = control.start(0.0) + control.handle(api.Roster(api.RosterKind.FULL, 1, entries), 0.0)
+        for i in range(50):
+            ask = api.Request(i, 0, 0, i % 5, 4.0, 1.0, 2.0, 0.0)
+            out += control.handle(ask, 0.1 * i)
+        return out
+
+    one, two = (Controller(make_settings(), seed=3, now=0.0) for _ in range(2))
+    assert run(one) == run(two)
+    assert run(Controller(make_settings(), seed=4, now=0.0)) != run(one)
