Connections to backends are kept and used again; tests over loopback sockets

Checked: a probe of the parser showed should_keep_alive() true inside on_message_complete and always false once feed_data has returned, for every framing; backends and pool were not at fault. Lines: _answered in net/backends.py and net/discovery.py.

--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -152,6 +152,14 @@
         if not self.stopped.done():
             self.stopped.set_result(None)
 
+    def close(self) -> None:
+        """Leave every socket, whatever is open."""
+        self.discovery.stop()
+        self.server.close()
+        self.backends.close()
+        if self.counter is not None:
+            self.counter.close()
+
 
 async def serve(config: Config) -> None:
     """Run one ingress until it is told to stop."""
@@ -163,8 +171,7 @@
     gc.collect()
     gc.freeze()     # what lives as long as the process needn't be looked at again
     await ingress.stopped
-    ingress.discovery.stop()
-    ingress.backends.close()
+    ingress.close()
 
 
 def main() -> int:
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -89,7 +89,7 @@
     """A kept-alive connection that carries one exchange at a time."""
 
     __slots__ = ("pool", "upstream", "transport", "exchange", "first", "parser", "written", "idle_since",
-                 "poll", "status", "headers", "body", "size", "complete", "excess", "closed")
+                 "poll", "status", "headers", "body", "size", "complete", "excess", "keep", "closed")
 
     def __init__(self, pool: Backends, upstream: Upstream, first: Exchange) -> None:
         self.pool, self.upstream, self.first = pool, upstream, first
@@ -120,7 +120,7 @@
 
     def _reset(self) -> None:
         self.status, self.headers, self.body, self.size = 0, [], [], 0
-        self.complete = self.excess = False
+        self.complete = self.excess = self.keep = False
 
     def stale(self) -> bool:
         """Whether the peer has closed its side, or said something unasked, since the last answer."""
@@ -170,13 +170,14 @@
         if 100 <= self.status < 200:
             self.headers.clear()    # an interim answer; the one that counts follows
         else:
-            self.complete = True
+            # Asked here, as the parser has forgotten it once it returns: guards the reuse of connections.
+            self.complete, self.keep = True, self.parser.should_keep_alive()
 
     def _answered(self) -> None:
         exchange, body = self.exchange, b"".join(self.body)
         answer = Answer(self.status, self.headers, body)
         self.exchange = None
-        if self.excess or not self.written or not self.parser.should_keep_alive() or not self.upstream.open:
+        if self.excess or not self.written or not self.keep or not self.upstream.open:
             self.close()
         else:
             self.idle_since = time.monotonic()
--- a/fennelpoint/net/discovery.py
+++ b/fennelpoint/net/discovery.py
@@ -124,7 +124,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.body: list[bytes] = []
         self.size = 0
-        self.complete = False
+        self.complete = self.keep = False
 
     def start(self) -> None:
         self._ask()
@@ -209,10 +209,10 @@
         self.body.append(body)
 
     def on_message_complete(self) -> None:
-        self.complete = True
+        self.complete, self.keep = True, self.parser.should_keep_alive()
 
     def _answered(self) -> None:
-        status, again = self.parser.get_status_code(), self.parser.should_keep_alive()
+        status = self.parser.get_status_code()
         if status != 200:
             return self._failed(f"answers {status}")
         try:
@@ -223,7 +223,7 @@
             return self._failed("told changes where the whole list was asked for")
         news = listing.roster.kind is api.RosterKind.FULL or listing.roster.entries
         self.revision, self.backoff = listing.roster.version, BACKOFF
-        if not again:
+        if not self.keep:
             transport, self.transport = self.transport, None
             transport.abort()
         self._ask()     # first: a watch lapses when the next call is late
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -362,6 +362,11 @@
             self.listener.close()
             self.listener = None
 
+    def close(self) -> None:
+        self.stop_listening()
+        for connection in list(self.connections):
+            connection.transport.abort()
+
     def close_idle(self) -> None:
         for connection in list(self.connections):
             if connection.idle and not connection.deaf:
--- /dev/null
+++ b/tests/test_counter.py
@@ -0,0 +1,114 @@
+"""The counter's answers belong to its calls by their order alone."""
+
+import asyncio
+
+import pytest
+from sockets import Fake, run, until
+
+from fennelpoint.interface import Status
+from fennelpoint.net.counter import Counter, amount_text
+
+
+class Play:
+    """A counter client against a scripted service; `replies` gathers what the callers are told."""
+
+    def __init__(self, handle) -> None:
+        self.fake, self.replies = Fake(handle), []
+
+    async def __aenter__(self):
+        host, port = (await self.fake.start()).split(":")
+        self.counter = Counter(asyncio.get_running_loop(), host, int(port), 0.05)
+        return self
+
+    async def __aexit__(self, *_):
+        self.counter.close()
+        self.fake.stop()
+
+    def call(self, name: int, amount: float = 1.0) -> None:
+        self.counter.call(name, amount, 4.0, self.replies.append)
+
+    async def told(self, count: int) -> list[tuple[int, Status, float]]:
+        await until(lambda: len(self.replies) >= count)
+        return [(r.name, r.status, r.total) for r in self.replies]
+
+
+def test_calls_are_pipelined_and_plain():
+    async def play() -> None:
+        lines = []
+
+        async def handle(reader, writer):
+            for _ in range(3):      # nothing is answered before all have come
+                lines.append(await reader.readline())
+            writer.write(b"ok 2.5\r\nbusy\r\nok -1e-3\r\n")
+            await reader.read()
+
+        async with Play(handle) as p:
+            p.call(7, 2.5)
+            p.call(8, 1e-5)
+            p.call(9, -3)
+            assert await p.told(3) == [(7, Status.OK, 2.5), (8, Status.FULL, 0.0), (9, Status.OK, -0.001)]
+            assert lines == [b"tally 7 2.5 4000\r\n", b"tally 8 0.00001 4000\r\n", b"tally 9 -3 4000\r\n"]
+
+    run(play())
+
+
+def test_answer_past_the_time_out_is_not_taken_for_the_next_call():
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def handle(reader, writer):
+            await reader.readline()
+            await go.wait()
+            await reader.readline()
+            writer.write(b"ok 11\r\nok 22\r\n")
+            await reader.read()
+
+        async with Play(handle) as p:
+            p.call(1)
+            assert await p.told(1) == [(1, Status.TIMEOUT, 0.0)]
+            p.call(2)
+            go.set()
+            assert (await p.told(2))[1] == (2, Status.OK, 22.0)
+
+    run(play())
+
+
+@pytest.mark.parametrize("answer", [b"ok\r\n", b"ok nan\r\n", b"what?\r\n", b"x" * 300, b""])
+def test_nonsense_or_a_break_ends_the_calls_and_the_next_has_a_new_connection(answer):
+    async def play() -> None:
+        async def handle(reader, writer):
+            await reader.readline()
+            if p.fake.opened > 1:
+                writer.write(b"ok 5\r\n")
+                return await reader.read()
+            writer.write(answer)
+
+        async with Play(handle) as p:
+            p.call(1)
+            assert await p.told(1) == [(1, Status.TIMEOUT, 0.0)]
+            await until(lambda: p.counter.line is None)
+            p.call(2)
+            assert (await p.told(2))[1] == (2, Status.OK, 5.0) and p.fake.opened == 2
+
+    run(play())
+
+
+def test_refused_connection_adds_nothing():
+    async def play() -> None:
+        async def handle(reader, writer):
+            await reader.read()
+
+        async with Play(handle) as p:
+            p.fake.server.close()
+            await p.fake.server.wait_closed()
+            p.call(1)
+            p.call(2)
+            assert await p.told(2) == [(1, Status.CONNECT_FAILED, 0.0), (2, Status.CONNECT_FAILED, 0.0)]
+
+    run(play())
+
+
+@pytest.mark.parametrize("amount, text", [(1.0, b"1"), (0.0, b"0"), (100.0, b"100"), (-2.5, b"-2.5"),
+                                          (1 / 3, b"0.333333")])
+def test_amounts_are_plain_decimals(amount, text):
+    assert amount_text(amount) == text
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,124 @@
+"""The list of backends: what is told, and what is kept where nothing sensible is."""
+
+import asyncio
+import json
+
+import pytest
+from sockets import SETTINGS, Backend, Fake, ask, member, ok, read_message, request, run, until, world
+
+from fennelpoint.interface import BackendState, RosterKind
+from fennelpoint.net.discovery import Discovery, ListError, parse_address, parse_list
+from fennelpoint.settings import from_json
+
+ADDRESS = "127.0.0.1:80"
+
+
+def listing(*members: object, revision: object = 3, complete: object = True) -> dict:
+    return {"revision": revision, "complete": complete, "members": list(members)}
+
+
+@pytest.mark.parametrize("value, says", [
+    (5, "is not an object"),
+    (listing(revision="x"), "revision"),
+    (listing(complete=1), "complete"),
+    ({"revision": 1, "complete": True}, "members"),
+])
+def test_list_that_cannot_be_read_is_refused_by_the_name_of_its_field(value, says):
+    with pytest.raises(ListError, match=says):
+        parse_list(value, from_json(SETTINGS))
+
+
+@pytest.mark.parametrize("bad", [
+    7, {**member("b", ADDRESS), "phase": "asleep"}, {**member("b", ADDRESS), "phase": ["up"]},
+    member("b", "somewhere"), member("b", "127.0.0.1:0"), member("b", "127.0.0.900:80"),
+    {**member("b", ADDRESS), "size": float("nan")}, {**member("b", ADDRESS), "up_since_ms": "now"}])
+def test_member_that_cannot_be_read_does_not_take_the_others_along(bad):
+    told = parse_list(listing(member("a", ADDRESS), bad), from_json(SETTINGS))
+    assert [e.backend for e in told.roster.entries] == ["a"]
+    if isinstance(bad, dict):   # unless the whole list would then count it as gone
+        with pytest.raises(ListError, match=r"members\[1\]"):
+            parse_list(listing(member("a", ADDRESS), bad), from_json(SETTINGS), {"b": ("127.0.0.1", 80)})
+
+
+def test_entry_as_the_module_is_told_it():
+    (entry,) = parse_list(listing(member("a", ADDRESS, "draining", 2500)), from_json(SETTINGS)).roster.entries
+    assert (entry.state, entry.started_at, entry.zone, entry.kind) == (BackendState.DRAINING, 2.5, 0, 0)
+    (entry,) = parse_list(listing(member("a", ADDRESS)), from_json(SETTINGS)).roster.entries
+    assert entry.started_at == 0.0
+
+
+@pytest.mark.parametrize("text", [None, "", "1.2.3.4", "1.2.3.4:x", "a.b.c.d:80", "1.2.3:80"])
+def test_address_that_is_none(text):
+    with pytest.raises(ListError, match="listen"):
+        parse_address(text, "listen")
+
+
+class Follow:
+    """A watch against a scripted service."""
+
+    def __init__(self, handle) -> None:
+        self.fake, self.told = Fake(handle), []
+
+    async def __aenter__(self):
+        address = parse_address(await self.fake.start(), "here")
+        self.watch = Discovery(asyncio.get_running_loop(), address, from_json(SETTINGS),
+                               lambda roster, addresses: self.told.append(roster))
+        self.watch.start()
+        return self
+
+    async def __aexit__(self, *_):
+        self.watch.stop()
+        self.fake.stop()
+
+
+def test_whole_list_first_then_watches_from_its_version():
+    async def play() -> None:
+        lines = []
+
+        async def handle(reader, writer):
+            for answer in (listing(member("a", ADDRESS)),
+                           listing(member("b", ADDRESS), revision=5, complete=False),
+                           listing(revision=5, complete=False)):
+                lines.append((await read_message(reader))[0])
+                writer.write(ok(json.dumps(answer).encode()))
+            lines.append((await read_message(reader))[0])
+            await reader.read()
+
+        async with Follow(handle) as f:
+            await until(lambda: len(lines) == 4)
+            assert [line.split()[1].partition("&")[0] for line in lines] == [
+                "/v1/endpoints", "/v1/endpoints?from=3", "/v1/endpoints?from=5", "/v1/endpoints?from=5"]
+            assert [r.kind for r in f.told] == [RosterKind.FULL, RosterKind.CHANGES] and f.fake.opened == 1
+
+    run(play())
+
+
+@pytest.mark.parametrize("bad", [b"noise\r\n\r\n", ok(b"{}"), ok(b"[" * 100_000), ok(b"{}", "500 No"), b""])
+def test_after_nonsense_the_list_is_kept_and_asked_for_again(bad):
+    async def play() -> None:
+        async def handle(reader, writer):
+            await read_message(reader)
+            first = f.fake.opened == 1
+            writer.write(ok(json.dumps(listing(member("a" if first else "b", ADDRESS))).encode()))
+            if first:
+                await read_message(reader)
+                writer.write(bad)
+            else:
+                await reader.read()
+
+        async with Follow(handle) as f:
+            await until(lambda: len(f.told) == 2)
+            assert [[e.backend for e in r.entries] for r in f.told] == [["a"], ["b"]]
+
+    run(play())
+
+
+def test_ingress_serves_by_the_list_it_had_while_discovery_is_down():
+    async def play() -> None:
+        backend = Backend()
+        async with world(backend) as made:
+            made.list.stop()
+            await until(lambda: made.ingress.discovery.transport is None)
+            assert (await ask(made, request()))[2] == b"yes"
+
+    run(play())
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,79 @@
+"""The program as it is started: its configuration, its signals, its exit."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+from sockets import SETTINGS, member
+
+ROOT = Path(__file__).parent.parent
+
+
+def config(**changes) -> dict:
+    with socket.socket() as free:   # a port that nobody listens on
+        free.bind(("127.0.0.1", 0))
+        listen = f"127.0.0.1:{free.getsockname()[1]}"
+    return {"name": "n0", "listen": listen, "discovery": "127.0.0.1:1", "counter": "127.0.0.1:1",
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"revision": 1, "complete": True, "members": [member("s-0", "127.0.0.1:1")]},
+            "settings": SETTINGS, **changes}
+
+
+def start(path: Path, value: object) -> subprocess.Popen:
+    path.write_text(value if isinstance(value, str) else json.dumps(value))
+    return subprocess.Popen([sys.executable, "-m", "fennelpoint"], cwd=ROOT, stderr=subprocess.PIPE,
+                            env={**os.environ, "BALANCER_CONFIG": str(path)})
+
+
+def without(settings: dict, name: str) -> dict:
+    return {key: value for key, value in settings.items() if key != name}
+
+
+@pytest.mark.parametrize("changes, says", [
+    (dict(listen="here"), "listen"),
+    (dict(discovery=None), "discovery"),
+    (dict(counter=None), "counter"),
+    (dict(seed="xyz"), "seed"),
+    (dict(limits={"sockets": "many"}), "limits.sockets"),
+    (dict(known={"revision": 1}), "known.complete"),
+    (dict(settings=without(SETTINGS, "me")), "setting me is missing"),
+    (dict(settings={**SETTINGS, "tick_s": "often"}), "setting tick_s"),
+    (dict(settings={**SETTINGS, "grades": []}), "setting grades.count"),
+    (dict(settings={**SETTINGS, "contracts": [{"name": "x", "pays": True}]}), "contracts.0.pays"),
+])
+def test_bad_configuration_ends_with_one_line_that_names_the_field(tmp_path, changes, says):
+    process = start(tmp_path / "config.json", config(**changes))
+    _, errors = process.communicate(timeout=30)
+    lines = errors.decode().splitlines()
+    assert process.returncode != 0 and len(lines) == 1 and says in lines[0]
+
+
+def test_program_starts_by_what_it_knew_and_stops_on_sigterm(tmp_path):
+    value = config()
+    process = start(tmp_path / "config.json", value)
+    try:
+        for line in process.stderr:
+            if b"is ready" in line:
+                break
+        host, port = value["listen"].split(":")
+        with socket.create_connection((host, int(port)), timeout=10) as client:
+            client.sendall(b"GET /ready HTTP/1.1\r\nHost: app.svc\r\n\r\n")
+            assert client.recv(4096).startswith(b"HTTP/1.1 200 OK")
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(timeout=30) == 0
+    finally:
+        if process.poll() is None:
+            process.kill()
+        process.communicate()
+
+
+def test_deploy_file_names_what_is_there():
+    deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
+    assert all((ROOT / path).exists() for path in deploy["policy"] + deploy["node"])
+    assert deploy["run"].endswith("-m fennelpoint") and deploy["sim"].endswith("-m fennelpoint.adapter")
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,183 @@
+"""Connections to backends: what is reused, what is not, and what each way of ending proves."""
+
+import asyncio
+
+import pytest
+from sockets import Backend, ask, member, ok, request, run, until, world
+
+from fennelpoint.interface import BackendState, Status
+from fennelpoint.net.backends import Exchange
+
+# Each request is asked in turn; what the client gets is told by the status.
+SERVED, REFUSED, FAILED = "200", "503", "502"
+
+
+def status(answer: tuple) -> str:
+    return answer[0].split()[1]
+
+
+def test_a_connection_is_kept_and_used_again():
+    """The parser forgets whether to keep a connection once it returns; each attempt opened a new one."""
+    async def play() -> None:
+        backend = Backend()
+        async with world(backend) as made:
+            for _ in range(5):
+                line, _, body = await ask(made, request())
+                assert line == "HTTP/1.1 200 OK" and body == b"yes"
+            assert len(backend.seen) == 5 and backend.opened == 1
+            await until(lambda: len(made.list.asked) > 4)
+            assert made.list.opened == 1
+
+    run(play())
+
+
+def test_request_goes_on_with_its_method_path_body_and_id():
+    async def play() -> None:
+        backend = Backend(lambda line, fields, body: ok(body[::-1]))
+        async with world(backend) as made:
+            answer = await ask(made, request("book", b"0123", left=5000, path="/api/x?y=1", X_Txn="abc"))
+            assert answer[2] == b"3210"
+            line, fields, body = backend.seen[0]
+            assert (line, body, fields["x-txn"]) == ("POST /api/x?y=1 HTTP/1.1", b"0123", "abc")
+            assert 0 < int(fields["x-remaining-ms"]) <= 5000
+
+    run(play())
+
+
+@pytest.mark.parametrize("answer, gets", [
+    (ok(b"no", "500 Internal Server Error"), FAILED),
+    (ok(b"no", "503 Service Unavailable"), FAILED),     # without the field that proves it never ran
+    (b"", FAILED),                                      # closed after the whole request
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nyes", None),  # cut short, then silence: the deadline
+    (b"noise without sense\r\n\r\n", FAILED),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nyes", FAILED),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n" + bytes(90000), FAILED),
+    (b"HTTP/1.1 200 OK\r\nX: " + b"y" * 200_000, FAILED),
+])
+def test_unsafe_request_that_may_have_run_fails_and_is_not_sent_again(answer, gets):
+    async def play() -> None:
+        backends = [Backend(lambda *_: answer), Backend(lambda *_: answer)]
+        async with world(*backends) as made:
+            got = await ask(made, request("book", b"x", left=600))
+            assert status(got) == (gets or FAILED)
+            assert sum(len(b.seen) for b in backends) == 1
+
+    run(play())
+
+
+def test_unsafe_request_that_was_turned_away_is_sent_again():
+    async def play() -> None:
+        answers = iter([ok(b"", "503 Busy", "X-Turned-Away: 1\r\n"), ok(b"yes")])
+        backend = Backend(lambda *_: next(answers))
+        async with world(backend) as made:
+            assert status(await ask(made, request("book", b"x", left=5000))) == SERVED
+            assert len(backend.seen) == 2 and backend.opened == 1
+
+    run(play())
+
+
+def test_refused_connect_goes_to_the_other_backend():
+    async def play() -> None:
+        down, up = Backend(), Backend()
+        async with world(down, up) as made:
+            down.stop()
+            for _ in range(4):
+                assert status(await ask(made, request("book", b"x", left=5000))) == SERVED
+            assert len(up.seen) == 4
+
+    run(play())
+
+
+def test_late_answer_is_dropped_with_its_connection():
+    """Were the connection kept, the next request would get the answer of the one before."""
+    async def play() -> None:
+        backend = Backend(lambda *_: None)
+        async with world(backend) as made:
+            assert status(await ask(made, request("book", b"1", left=200))) == FAILED
+            backend.writers[0].write(ok(b"late"))
+            backend.answer = lambda *_: ok(b"its own")
+            assert (await ask(made, request("book", b"2", left=5000)))[2] == b"its own"
+            assert backend.opened == 2
+
+    run(play())
+
+
+@pytest.mark.parametrize("excess", [ok(b"another"), b"noise"])
+def test_answer_with_more_behind_it_is_served_and_its_connection_dropped(excess):
+    async def play() -> None:
+        backend = Backend(lambda *_: ok(b"yes") + excess)
+        async with world(backend) as made:
+            for _ in range(2):
+                assert (await ask(made, request()))[2] == b"yes"
+            assert backend.opened == 2
+
+    run(play())
+
+
+def test_interim_answer_is_passed_over():
+    async def play() -> None:
+        backend = Backend(lambda *_: b"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" + ok(b"yes"))
+        async with world(backend) as made:
+            assert (await ask(made, request()))[2] == b"yes"
+
+    run(play())
+
+
+def test_idle_connection_that_the_backend_closed_is_not_used():
+    async def play() -> None:
+        backend = Backend()
+        async with world(backend) as made:
+            await ask(made, request())
+            backend.writers[0].close()
+            assert status(await ask(made, request("book", b"x", left=5000))) == SERVED
+            assert backend.opened == 2
+
+    run(play())
+
+
+def test_drained_backend_gets_nothing_more_and_a_restarted_one_new_connections():
+    async def play() -> None:
+        one, two = Backend(), Backend()
+        async with world(one, two) as made:
+            upstreams = made.ingress.backends.upstreams
+            made.list.tell(member("s-0", one.address, "draining"))
+            await until(lambda: not upstreams["s-0"].open)
+            for _ in range(6):
+                await ask(made, request())
+            assert len(one.seen) == 0 and len(two.seen) == 6
+            before = two.opened
+            made.list.tell(member("s-0", one.address, "removed"),
+                           member("s-1", two.address, up_since_ms=1000))
+            await until(lambda: upstreams["s-1"].started == 1.0)
+            await ask(made, request())
+            assert two.opened == before + 1 and "s-0" not in upstreams
+
+    run(play())
+
+
+def test_backend_that_begins_to_drain_while_its_connection_comes_up_gets_no_byte():
+    async def play() -> None:
+        backend = Backend()
+        async with world(backend) as made:
+            pool, ended = made.ingress.backends, []
+            pool.begin(Exchange(lambda: b"GET / HTTP/1.1\r\n\r\n", lambda *end: ended.append(end)), "s-0")
+            pool.upstreams["s-0"].state = BackendState.DRAINING     # as discovery tells meanwhile
+            await until(lambda: ended)
+            assert ended == [(Status.CONNECT_FAILED, None)]
+            await until(lambda: backend.opened)
+            assert not backend.seen and not pool.all
+
+    run(play())
+
+
+def test_backend_that_says_nothing_ends_at_the_deadline():
+    async def play() -> None:
+        backend = Backend(lambda *_: None)
+        async with world(backend) as made:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            assert status(await ask(made, request("book", b"x", left=300))) == FAILED
+            assert loop.time() - began >= 0.29
+            assert not made.ingress.host.tickets
+
+    run(play())
