--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,10 +2,12 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
 import sys
+import time
 import tomllib
 from pathlib import Path
 
@@ -73,6 +75,42 @@
         process.communicate()
 
 
+def test_program_survives_running_out_of_descriptors(tmp_path):
+    """A front that opens too many connections must not take those along that come after it has closed them."""
+    value = config(limits={"sockets": 64})
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(value))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "fennelpoint"], cwd=ROOT, stderr=subprocess.PIPE,
+        env={**os.environ, "BALANCER_CONFIG": str(path)},
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)))
+    host, port = value["listen"].split(":")
+    crowd = []
+    try:
+        for line in process.stderr:
+            if b"is ready" in line:
+                break
+        for _ in range(150):
+            client = socket.create_connection((host, int(port)), timeout=10)
+            client.sendall(b"GET /api HTTP/1.1\r\nX-Txn: ")  # begun, so not idle: none may be closed for it
+            crowd.append(client)
+        for client in crowd:
+            client.close()
+        end = time.monotonic() + 20.0
+        answer = b""
+        while not answer.startswith(b"HTTP/1.1 200 OK") and time.monotonic() < end:
+            try:
+                with socket.create_connection((host, int(port)), timeout=10) as client:
+                    client.sendall(b"GET /ready HTTP/1.1\r\nHost: app.svc\r\n\r\n")
+                    answer = client.recv(4096)
+            except OSError:
+                time.sleep(0.05)
+        assert answer.startswith(b"HTTP/1.1 200 OK") and process.poll() is None
+    finally:
+        process.kill()
+        process.communicate()
+
+
 def test_deploy_file_names_what_is_there():
     deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
     assert all((ROOT / path).exists() for path in deploy["policy"] + deploy["node"])
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -1,6 +1,7 @@
 """Client connections: one answer for each request, nothing malformed to a backend, and the end of it all."""
 
 import asyncio
+import re
 
 import pytest
 from sockets import Backend, ask, ok, read_message, request, run, until, world
@@ -178,3 +179,43 @@
             await asyncio.wait_for(made.ingress.stopped, 10.0)
 
     run(play())
+
+
+def test_flood_on_one_connection_is_cut_off_and_the_rest_goes_on():
+    async def play() -> None:
+        backend = Backend(lambda *_: None)
+        async with world(backend) as made:
+            reader, writer = await made.connect()
+            writer.write(request(left=600))
+            await until(lambda: backend.seen)
+            for _ in range(40):
+                writer.write(request(left=600))
+                await asyncio.sleep(0)
+            told = re.findall(rb"HTTP/1.1 (\d+)", await reader.read())
+            writer.close()
+            assert told[-1] == b"400" and len(told) < 40
+            backend.answer = lambda *_: ok(b"yes")
+            assert (await ask(made, request()))[0].endswith("200 OK")
+
+    run(play())
+
+
+def test_client_that_reads_nothing_is_served_no_more_until_it_does():
+    async def play() -> None:
+        backend = Backend(lambda *_: ok(bytes(60_000)))
+        async with world(backend) as made:
+            reader, writer = await made.connect()
+            served = 0
+            while not any(c.choked for c in made.ingress.server.connections):
+                writer.write(request(left=20_000))
+                served += 1
+                assert served < 2000
+                await until(lambda: made.ingress.host.waiting == 0 and len(backend.seen) == served)  # noqa: B023
+            writer.write(request(left=20_000))
+            await until(lambda: any(c.waiting for c in made.ingress.server.connections))
+            assert len(backend.seen) == served
+            for _ in range(served + 1):
+                assert len((await read_message(reader))[2]) == 60_000
+            writer.close()
+
+    run(play())
