The module looks at a held try when its bucket can hold its units, not every 20 ms

Lines: _hold and _pump in control.py. Ruled out: the answers of backends and of the counter look at the line by themselves, so nothing is missed in between; soft plans, charged tries and those with an answer of their own are looked at as before.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -115,6 +115,8 @@
         if (c := self.customers.get(reply.name)) is None or c.asking:
             return self._answered(c, reply, ok, now) if c else None
         added, c.calling, c.fails = c.calling, 0.0, 0 if ok else c.fails + 1
+        if c.held:  # what it may do is told anew: look again at what waits
+            self.out += self.timers.wake(TOKEN_PUMP, now + PUMP, now)
         if not ok:
             c.count_at = now + self.random.uniform(0.5, 1.0) * min(BACK_OFF_MOST, COUNT_PERIOD * 2 ** c.fails)
             c.fresh += added if reply.status is not api.Status.TIMEOUT else 0.0  # it may have been added
@@ -215,7 +217,17 @@
         """Keep it until it may be sent, or until its aim or its client can't be met any more."""
         t.last = min(t.aim_at - LATE_MARGIN * self.usual[t.ask.cls], t.ends)
         self.line.hold(t)
-        self.out += self.timers.wake(TOKEN_PUMP, min(max(now + PUMP, t.not_before), t.last), now)
+        self.out += self.timers.wake(TOKEN_PUMP, min(self._due(t, now), t.last), now)
+
+    def _due(self, t: Try, now: float) -> float:
+        """When to look at a held try again: not before its bucket, filled by time alone, can hold its units.
+
+        Guards the CPU: looking every PUMP at what only waits for its quota was half of all events.
+        """
+        c, plan, soon = t.customer, self.settings.plans[t.ask.plan], max(now + PUMP, t.not_before)
+        if t.charged or t.inside is not None or not plan.rate or plan.over_worth > 0.0:
+            return soon
+        return max(soon, c.filled + (t.ask.units - c.level) / (plan.rate * max(c.share, 0.01)))
 
     def _pump(self, now: float) -> None:
         """Release held tries, the highest worth first; end those that can't make it any more."""
@@ -229,7 +241,7 @@
                 self._activate(t.customer, now)
                 self._refuse(t, now, 0.0)
             else:
-                soonest = min(soonest, max(now + PUMP, min(t.not_before, t.last)))
+                soonest = min(soonest, max(now + PUMP, min(self._due(t, now), t.last)))
         self.out += self.timers.wake(TOKEN_PUMP, soonest, now)
 
     def _refuse(self, t: Try, now: float, wait: float) -> None:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -4,6 +4,7 @@
 from conftest import CAPPED, HARD, READY, SLOTS, SOFT, UNSAFE, World, kinds, make_settings
 
 from fennelpoint import interface as api
+from fennelpoint.control import TOKEN_PUMP
 
 
 def admitted(world: World, count: int, **ask) -> int:
@@ -237,3 +238,30 @@
         sent += kinds(world.wait(0.02)).count(api.Send)
     assert world.control.customers[1].own + sum(c.amount for c in world.counts) >= 100.0
     assert sent <= 4 + 2 * 2 + 2  # the burst's half, two units a second here, one held
+
+
+def test_try_that_waits_for_its_quota_is_looked_at_when_its_bucket_fills():
+    """Looking every 20 ms at what only waits for its units cost an ingress a fifth of its CPU."""
+    world = World(make_settings(has_counter=False))
+    world.backends("a")
+    while sends := world.ask(left=4.0):     # until the slice of this ingress is used up
+        if kinds(sends) != [api.Send]:
+            break
+        world.answer(sends[0].request, "a")
+    before = world.control.timers.at[TOKEN_PUMP]
+    assert before - world.now > 0.1         # the bucket fills at 4 units a second, half of them here
+    assert kinds(world.wait(before - world.now + 0.01)) == [api.Send]
+
+
+def test_try_that_waits_is_looked_at_anew_when_the_counter_answers():
+    world = World(make_settings())
+    world.backends("a")
+    while sends := world.ask(left=4.0):
+        if kinds(sends) != [api.Send]:
+            break
+        world.answer(sends[0].request, "a")
+    assert world.control.timers.at[TOKEN_PUMP] - world.now > 0.1
+    (customer,) = world.control.customers.values()
+    customer.calling = 1.0
+    world.give(api.CounterReply(customer.key, api.Status.OK, 5.0, 0.001))
+    assert world.control.timers.at[TOKEN_PUMP] - world.now < 0.03
