A request without an end is cut off, in its trailers and chunk extensions too

Cause: bytes were counted only while in the head; the parser gathers a trailer's field by itself and hands over nothing until it ends, so one client could fill the memory for the 10 s that a request may take. Lines: data_received in net/server.py. Also counts only the bytes of the request at hand: what came with the end of the one before no longer counts for the next.

--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -22,6 +22,7 @@
 
 MOST_BODY = 64 * 1024   # bytes
 MOST_HEAD = 16 * 1024   # bytes of request line and fields together
+MOST_TAKEN = 8 * MOST_BODY  # bytes of one request as it comes, with framing and trailers
 MOST_WAITING = 16       # requests written behind one another on one connection
 MOST_BEHIND = 64 * 1024  # bytes of their bodies
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client leaves unread before it is served no more
@@ -144,7 +145,8 @@
     """One connection of a client or front."""
 
     __slots__ = ("server", "transport", "parser", "waiting", "open", "deaf", "keep", "since", "head_size",
-                 "method_url", "headers", "body", "body_size", "in_head", "in_body", "lost", "choked")
+                 "taken", "fresh", "method_url", "headers", "body", "body_size", "in_head", "in_body", "lost",
+                 "choked")
 
     def __init__(self, server: Server) -> None:
         self.server = server
@@ -161,7 +163,7 @@
         self._begin()
 
     def _begin(self) -> None:
-        self.head_size = self.body_size = 0
+        self.head_size = self.body_size = self.taken = 0
         self.method_url = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
@@ -182,24 +184,27 @@
     def data_received(self, data: bytes) -> None:
         if self.deaf:
             return
-        before = self.in_head
+        self.fresh = False
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._fault(BadRequest("no other protocol is spoken here"))
         except httptools.HttpParserError as error:
             self._fault(BadRequest(f"it can't be read: {error}"))
-        if before and self.in_head:     # a field without an end is not handed over: count it all the same
-            self.head_size += len(data)
-            if self.head_size > MOST_HEAD:
+        if (self.in_head or self.in_body) and not self.fresh:   # a fresh one began within these bytes
+            # Guards the memory: a field or trailer without an end is gathered by the parser, unseen here.
+            self.taken += len(data)
+            if self.in_head and self.taken > MOST_HEAD:
                 self._fault(BadRequest("the head is too long", 431))
+            elif self.taken > MOST_TAKEN:
+                self._fault(BadRequest("it has no end", 413))
         self._next()
 
     # What the parser reads.  A fault found here ends the reading, but not before earlier requests' turn.
 
     def on_message_begin(self) -> None:
         self._begin()
-        self.in_head = True
+        self.in_head = self.fresh = True
         if not self.waiting and self.open is None:
             self.since = time.monotonic()
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -39,8 +39,12 @@
     (b"GET /api HTTP/1.1\r\nHost : x\r\n\r\n", 400),
     (b"GET /api HTTP/1.1\r\nX: " + b"y" * 40_000, 431),
     (request("book", bytes(BIG)), 413),
+    (request("book", b"0\r\nX: " + b"y" * 900_000, Transfer_Encoding="chunked"), 413),
+    (request("book", b"3;" + b"y" * 900_000, Transfer_Encoding="chunked"), 413),
+    (request("book", b"0\r\n\r\n", Transfer_Encoding="chunked").replace(b"HTTP/1.1", b"HTTP/1.0"), 400),
+    (request(drop="Host"), 400),
     (request("book", b"%x\r\n" % BIG + bytes(BIG), Transfer_Encoding="chunked"), 413),
-])
+], ids=lambda value: str(value) if isinstance(value, int) else "request")
 def test_bad_request_is_told_so_and_reaches_no_backend(data, status):
     async def play() -> None:
         backend = Backend()
@@ -84,6 +88,22 @@
     run(play())
 
 
+def test_bytes_of_one_request_do_not_count_for_the_next():
+    async def play() -> None:
+        async with world(Backend()) as made:
+            first, second = request("book", bytes(60_000), left=5000), request()
+            reader, writer = await made.connect()
+            writer.write(first[:1000])
+            await until(lambda: any(c.in_body for c in made.ingress.server.connections))
+            writer.write(first[1000:] + second[:50])
+            assert (await read_message(reader))[0].endswith("200 OK")
+            writer.write(second[50:])
+            assert (await read_message(reader))[0].endswith("200 OK")
+            writer.close()
+
+    run(play())
+
+
 def test_bad_request_behind_a_good_one_waits_for_its_turn():
     async def play() -> None:
         async with world(Backend()) as made:
