SIGHUP goes over to another discovery and counter; it ended the process

Ruled out: the file itself (readable, only discovery and counter differ). At fault: serve() had handlers for SIGTERM and SIGINT only, so the default action ended the process. Now the file is read whole and checked, a fault keeps the old one; the old discovery is followed until the new one has told its whole list (revisions start anew); calls go to the old counter until the new one is reached, and those in flight there are still answered.

--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -86,15 +86,16 @@
 class Ingress:
     """The parts of a running ingress and the order in which they start and stop."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, path: str = "") -> None:
         settings, room = config.settings, config.sockets - RESERVED
         upstream = int(room * UPSTREAM_SHARE)
-        self.loop, self.config, self.stopped = loop, config, loop.create_future()
+        self.loop, self.config, self.path, self.stopped = loop, config, path, loop.create_future()
         self.backends = Backends(loop, upstream, settings.connect_timeout, settings.idle_close)
         self.counter = Counter(loop, *config.counter, settings.counter_timeout) if (
             config.counter is not None and settings.has_counter) else None
         self.host = Host(loop, settings, config.seed, self.backends, self.counter)
         self.discovery = Discovery(loop, config.discovery, settings, self.follow)
+        self.coming: Discovery | None = None    # a new discovery that has not told its list yet
         self.server = Server(loop, self.host, room - upstream)
         self.stopping_since: float | None = None
 
@@ -112,6 +113,37 @@
         if roster.kind is api.RosterKind.FULL:
             self._set_ready()
 
+    def reload(self) -> None:
+        """SIGHUP: go over to the discovery and the counter that the file names now; the rest stays.
+
+        A file that can't be used changes nothing.  It may come again at any time.
+        """
+        if self.stopping_since is not None:
+            return
+        try:
+            config = read_config(self.path)
+        except ConfigError as error:
+            return log.error("%s keeps its configuration: %s", self.config.name, error)
+        log.info("%s reads its configuration anew", config.name)
+        if self.counter is not None and config.counter is not None:
+            self.counter.move(*config.counter)
+        if self.coming is not None:
+            self.coming.stop()
+            self.coming = None
+        if config.discovery != self.discovery.address:
+            # Guards against a gap in the watch: the old one goes on until the new one's list is here.  The
+            # new one has revisions of its own, so it is asked for the whole of it.
+            self.coming = Discovery(self.loop, config.discovery, self.config.settings, self._go_over)
+            self.coming.known = self.discovery.known
+            self.coming.start()
+
+    def _go_over(self, roster: api.Roster, addresses: dict[str, Address]) -> None:
+        """The first list of a new discovery: from now on it is the one to go by."""
+        self.discovery.stop()
+        self.discovery, self.coming = self.coming, None
+        self.discovery.follow = self.follow
+        self.follow(roster, addresses)
+
     def _set_ready(self) -> None:
         if not self.host.ready:
             self.host.ready = True
@@ -155,17 +187,20 @@
 
     def close(self) -> None:
         """Leave every socket, whatever is open."""
-        self.discovery.stop()
+        for discovery in (self.discovery, self.coming):
+            if discovery is not None:
+                discovery.stop()
         self.server.close()
         self.backends.close()
         if self.counter is not None:
             self.counter.close()
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, path: str) -> None:
     """Run one ingress until it is told to stop."""
     loop = asyncio.get_running_loop()
-    ingress = Ingress(loop, config)
+    ingress = Ingress(loop, config, path)
+    loop.add_signal_handler(signal.SIGHUP, ingress.reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ingress.stop)
     await ingress.start()
@@ -178,6 +213,7 @@
 
 def main() -> int:
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s")
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)    # the file is about to be read anyway
     try:
         path = os.environ.get("BALANCER_CONFIG")
         if not path:
@@ -187,7 +223,7 @@
         print(f"fennelpoint: {error}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(config))
+        uvloop.run(serve(config, path))
     except OSError as error:
         print(f"fennelpoint: listen: {error}", file=sys.stderr)
         return 1
--- a/fennelpoint/net/counter.py
+++ b/fennelpoint/net/counter.py
@@ -51,6 +51,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, host: str, port: int, timeout: float) -> None:
         self.loop, self.host, self.port, self.timeout = loop, host, port, timeout or CALL_TIMEOUT
         self.line: CounterLine | None = None
+        self.leaving: set[CounterLine] = set()  # at an address before this one, with calls to be answered
         self.connecting: asyncio.Task | None = None
         self.not_before = 0.0
         self.unsent: deque[Call] = deque()
@@ -63,7 +64,7 @@
         call = Call(name, b"tally %d %b %d\r\n" % (name, amount_text(amount), life), time.monotonic(), tell)
         if len(self.told) >= MOST_CALLS:
             return call.end(Status.CONNECT_FAILED)
-        if self.line is None and self.connecting is None:
+        if (self.line is None or self.line.address != (self.host, self.port)) and self.connecting is None:
             self._connect()
         if self.line is None and self.connecting is None:   # it failed just now: the caller needn't wait
             return call.end(Status.CONNECT_FAILED)
@@ -91,31 +92,50 @@
     def _connect(self) -> None:
         if time.monotonic() < self.not_before:
             return
+        address = (self.host, self.port)
         task = self.connecting = self.loop.create_task(self.loop.create_connection(
-            lambda: CounterLine(self), self.host, self.port))
+            lambda: CounterLine(self, address), *address))
         timer = self.loop.call_later(CONNECT_TIMEOUT, task.cancel)
 
         def connected(task: asyncio.Task) -> None:
             timer.cancel()
-            if self.connecting is task:
+            ours = self.connecting is task
+            if ours:
                 self.connecting = None
-            if not task.cancelled() and task.exception() is None:
+            if not task.cancelled() and task.exception() is None or not ours:
                 return
-            complain("counter", "can't be reached at %s:%d", self.host, self.port)
+            complain("counter", "can't be reached at %s:%d", *address)
             self.not_before = time.monotonic() + PAUSE
-            self._end_unsent()
+            if self.line is None:
+                self._end_unsent()
 
         task.add_done_callback(connected)
 
+    def move(self, host: str, port: int) -> None:
+        """Go over to another address; calls go to the old one until the new one is reached."""
+        if (host, port) == (self.host, self.port):
+            return
+        self.host, self.port = host, port
+        if self.connecting is not None:
+            self.connecting.cancel()
+            self.connecting = None
+        self.not_before = 0.0
+        self._connect()
+
     def up(self, line: CounterLine) -> None:
-        self.line, self.connecting = line, None
+        old, self.line, self.connecting = self.line, line, None
+        if old is not None:
+            # Guards the calls in flight: the old line is left once the last of them is answered or late.
+            self.leaving.add(old)
+            old.leave()
         self.flush(line)
 
     def flush(self, line: CounterLine) -> None:
-        while self.unsent and not line.paused:
+        while line is self.line and self.unsent and not line.paused:
             line.send(self.unsent.popleft())
 
     def down(self, line: CounterLine) -> None:
+        self.leaving.discard(line)
         if self.line is line:
             self.line = None
             self._end_unsent()
@@ -127,9 +147,11 @@
 
     def sweep(self) -> None:
         """Leave a connection that is silent, or idle; the next call opens another."""
+        now = time.monotonic()
+        for line in [line for line in self.leaving if now - line.used > max(SILENT, self.timeout)]:
+            line.close()
         if (line := self.line) is None:
             return
-        now = time.monotonic()
         if line.calls and now - max(line.calls[0].at, line.heard) > SILENT:
             complain("counter", "is silent on its connection")
             line.close()
@@ -137,15 +159,18 @@
             line.close()
 
     def close(self) -> None:
-        if self.line is not None:
-            self.line.close()
+        if self.connecting is not None:
+            self.connecting.cancel()
+        for line in [*self.leaving, *([self.line] if self.line is not None else [])]:
+            line.close()
 
 
 class CounterLine(asyncio.Protocol):
     """One connection with the calls whose answers are still to come."""
 
-    def __init__(self, counter: Counter) -> None:
-        self.counter = counter
+    def __init__(self, counter: Counter, address: tuple[str, int]) -> None:
+        self.counter, self.address = counter, address
+        self.left = False       # closed with the answer to its last call
         self.calls: deque[Call] = deque()
         self.rest = b""
         self.paused = False     # the last call is not written whole; none may follow it yet
@@ -176,6 +201,8 @@
             if not self.calls or not self._answer(self.calls.popleft(), line):
                 complain("counter", "an answer can't be read: %r", line[:64])
                 return self.close()
+        if self.left and not self.calls:
+            self.close()
         if len(self.rest) > MOST_LINE:
             complain("counter", "an answer has no end")
             self.close()
@@ -193,6 +220,12 @@
         call.end({b"ok": Status.OK, b"busy": Status.FULL}.get(word, Status.CONNECT_FAILED), total)
         return True
 
+    def leave(self) -> None:
+        """Nothing new is sent here; what is out is waited for."""
+        self.left = True
+        if not self.calls:
+            self.close()
+
     def close(self) -> None:
         self.transport.abort()
         self._lost()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -56,7 +56,7 @@
     assert process.returncode != 0 and len(lines) == 1 and says in lines[0]
 
 
-def test_program_starts_by_what_it_knew_and_stops_on_sigterm(tmp_path):
+def test_program_starts_by_what_it_knew_reloads_on_sighup_and_stops_on_sigterm(tmp_path):
     value = config()
     process = start(tmp_path / "config.json", value)
     try:
@@ -67,6 +67,11 @@
         with socket.create_connection((host, int(port)), timeout=10) as client:
             client.sendall(b"GET /ready HTTP/1.1\r\nHost: app.svc\r\n\r\n")
             assert client.recv(4096).startswith(b"HTTP/1.1 200 OK")
+            process.send_signal(signal.SIGHUP)
+            for line in process.stderr:
+                if b"configuration anew" in line:
+                    break
+            assert process.poll() is None
             process.send_signal(signal.SIGTERM)
             assert process.wait(timeout=30) == 0
     finally:
