Clients in time, answers told apart, our own shortage, forgetting: bounds on all that is kept

Causes, by lines: HEAD_TIMEOUT and IDLE_TIMEOUT over the 3 s that are owed, make_room blind to half-sent heads and silent connections; an X-Txn open elsewhere passed on; a flood in one read without bound; after an error 60 MB were read on. Connections now stand in lines by age (coming, idle, leaving), swept four times a second and evicted oldest first, silence before what is kept. Backends: an answer of gigabytes, of no told end, or that stops halfway is given up; deep JSON in a report raised RecursionError and left its probe without a result; want of connections or descriptors is ours (MOOT), not the backend's fault. Memory: parser and protocol freed each other only by collection; a cut customer stopped all forgetting behind it and was cut for good.

Tests of the mends fail without them (the socket ones hang until their limit).

--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -22,7 +22,7 @@
 from fennelpoint.net.server import Server
 from fennelpoint.settings import from_json
 
-SWEEP = 1.0             # s between looks at idle connections
+SWEEP = 0.25            # s between looks at idle connections
 LIST_WAIT = 1.0         # s for discovery to answer before the list known from before will do
 ACCEPT_ON = 0.5         # s that connections are still taken after SIGTERM: the front learns late
 STOP_WITHIN = 3.4       # s after SIGTERM by which all is answered and the process gone
--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -2,7 +2,7 @@
 
 A request is counted and placed (`_admit`), held while it is short of units, of an answer or of a backend
 (`_pump`), sent (`_choose`), and ended by its outcome (`_outcome`); each period cuts or gives back room
-(`_regulate`).  `docs/design.md` tells what comes from the paper, what was changed, and every exception.
+(`_regulate`).  What comes from the paper and what was changed is told where it is done.
 """
 
 from __future__ import annotations
@@ -165,7 +165,8 @@
     def _admit(self, ask: api.Request, now: float) -> None:
         c, cls, plan = self._customer(ask, now), self.settings.classes[ask.cls], self.settings.plans[ask.plan]
         ends = now + ask.time_left - 2 * PUMP - self.settings.tick  # the last answer that is surely in time
-        t = Try(ask, c, now + min(cls.aim, ask.time_left), ends, cls.worth * plan.price)
+        half = now + ask.time_left / 2 - 2 * PUMP - self.settings.tick
+        t = Try(ask, c, now + min(cls.aim, ask.time_left), ends, cls.worth * plan.price, half)
         self.line.open[ask.request], c.worth = t, max(c.worth, t.worth)
         self._fill(c, now)
         if c.window:
@@ -214,8 +215,11 @@
         return True
 
     def _hold(self, t: Try, now: float) -> None:
-        """Keep it until it may be sent, or until its aim or its client can't be met any more."""
-        t.last = min(t.aim_at - LATE_MARGIN * self.usual[t.ask.cls], t.ends)
+        """Keep it until it may be sent, or until its aim or its client can't be met any more.
+
+        What no backend has had is ended before half of its time is up: its client may try elsewhere.
+        """
+        t.last = min(t.aim_at - LATE_MARGIN * self.usual[t.ask.cls], t.ends, inf if t.reached else t.half)
         self.line.hold(t)
         self.out += self.timers.wake(TOKEN_PUMP, min(self._due(t, now), t.last), now)
 
@@ -272,7 +276,8 @@
         elif t is not None:
             if not o.status.never_ran and t.ran_at is None:
                 t.ran_at, t.ran_on = now - o.latency, backend.entry if backend else None
-            t.not_before = now + PAUSE_FULL * t.attempts * (o.status is api.Status.FULL)
+            t.reached = t.reached or o.status not in (api.Status.CONNECT_FAILED, api.Status.MOOT)
+            t.not_before = now + PAUSE_FULL * t.attempts * (o.status in (api.Status.FULL, api.Status.MOOT))
             again = t.ran_at is not None  # as time, effect and a budget against retry storms allow
             barred = o.status is api.Status.TIMEOUT or self.retries < 1.0 or not self._allowed(t, now)
             if t.attempts >= self.settings.max_attempts or now >= t.ends or again and barred:
@@ -392,6 +397,8 @@
         if ages and (age := ages[len(ages) // 2]) > max(TARGET, self.pressure):
             self._press(age, PERIOD, now)
         self._regulate(now, span)
+        for c in [c for c in self.active.values() if c.cap is not None and c.seen < now - FORGET]:
+            c.cap = None    # guards the memory: one that is cut is not forgotten, and this one is gone
         self.active = {k: c for k, c in self.active.items() if c.cap is not None or c.rate > IDLE_RATE}
         if self.active or self.fleet.busy:
             self.out += self.timers.wake(TOKEN_PERIOD, now + PERIOD, now)
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import select
 import time
@@ -20,6 +21,8 @@
 
 MOST_ANSWER = 64 * 1024     # bytes of a body
 MOST_RECEIVED = 2 * MOST_ANSWER  # bytes of a whole answer with its head and framing
+STALLED = 0.5               # s without a byte in the middle of an answer: the rest won't come
+OWN_SHORTAGE = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 CONNECT_TIMEOUT = 0.25      # s, where the settings tell none
 IDLE_SHARE, IDLE_MOST = 0.5, 30.0  # of the settings' idle time: well before the backend closes; s at most
 HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate",
@@ -89,10 +92,12 @@
     """A kept-alive connection that carries one exchange at a time."""
 
     __slots__ = ("pool", "upstream", "transport", "exchange", "first", "parser", "written", "idle_since",
-                 "poll", "status", "headers", "body", "size", "complete", "excess", "keep", "closed")
+                 "poll", "status", "headers", "body", "size", "complete", "excess", "keep", "closed", "heard",
+                 "doubt", "__weakref__")
 
     def __init__(self, pool: Backends, upstream: Upstream, first: Exchange) -> None:
         self.pool, self.upstream, self.first = pool, upstream, first
+        self.heard, self.doubt = 0.0, ""
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
         self.parser = httptools.HttpResponseParser(self)
@@ -106,11 +111,12 @@
         self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self.pool.all.add(self)
         # Guards the rule on drains: the backend may have begun to drain while the connection came up.
-        if self.first.ended or not self.upstream.open:
+        first, self.first = self.first, None
+        if first.ended or not self.upstream.open:
             self.close()
-            self.first.end(Status.CONNECT_FAILED)
+            first.end(Status.CONNECT_FAILED)
         else:
-            self.start(self.first)
+            self.start(first)
 
     def start(self, exchange: Exchange) -> None:
         self.exchange, exchange.connection, exchange.connecting = exchange, self, None
@@ -121,6 +127,7 @@
     def _reset(self) -> None:
         self.status, self.headers, self.body, self.size = 0, [], [], 0
         self.complete = self.excess = self.keep = False
+        self.heard, self.doubt = 0.0, ""
 
     def stale(self) -> bool:
         """Whether the peer has closed its side, or said something unasked, since the last answer."""
@@ -142,10 +149,14 @@
             if not self.complete:
                 return self._spoilt(f"can't be read ({error})")
             self.excess = True
-        if self.complete:
+        if self.complete and not self.doubt:
             self._answered()
+        elif self.doubt:
+            self._spoilt(self.doubt)
         elif self.size > MOST_RECEIVED:
             self._spoilt("is too large")
+        else:
+            self.heard = time.monotonic()
 
     # What the parser reads.
 
@@ -157,8 +168,16 @@
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        if not self.complete:
-            self.status = self.parser.get_status_code()
+        if self.complete:
+            return
+        self.status = self.parser.get_status_code()
+        if self.status == 200:
+            # Guards the wait and the memory: an answer of gigabytes, or of no told end, is not waited for.
+            length = next((value for name, value in self.headers if name == b"content-length"), None)
+            if length is None and not any(name == b"transfer-encoding" for name, _ in self.headers):
+                self.doubt = "does not tell where it ends"
+            elif length is not None and int(length) > MOST_ANSWER:
+                self.doubt = "is too large"
 
     def on_body(self, body: bytes) -> None:
         if not self.complete:
@@ -195,6 +214,11 @@
         self.close()
         exchange.end(Status.ERROR)
 
+    def stalled(self, now: float) -> None:
+        """Guards the request's time: a length over what was sent would hold it until its deadline."""
+        if self.exchange is not None and 0.0 < self.heard < now - STALLED:
+            self._spoilt("does not come whole")
+
     def eof_received(self) -> None:
         """A half-closed connection takes no more requests; returning nothing closes our side too."""
 
@@ -202,6 +226,7 @@
         written, exchange, self.exchange = self.written, self.exchange, None
         self.close()
         self.pool.all.discard(self)
+        self.parser = self.poll = None  # parser and protocol hold each other, and collections are rare
         if exchange is not None:
             exchange.end(Status.RESET if written else Status.CONNECT_FAILED)
 
@@ -264,8 +289,9 @@
                 return connection.start(exchange)
             connection.close()
         if len(self.all) + len(self.connecting) >= self.most and not self._evict():
+            # Guards the backend's name: the shortage is our own, so this must not look like its fault.
             complain("upstream", "all %d connections are in use", self.most)
-            return exchange.end(Status.CONNECT_FAILED)
+            return exchange.end(Status.MOOT)
         self._connect(upstream, exchange)
 
     def _connect(self, upstream: Upstream, exchange: Exchange) -> None:
@@ -278,11 +304,12 @@
             timer.cancel()
             self.connecting.pop(task, None)
             if task.cancelled() or (error := task.exception()) is not None:
-                # Guards against running out of descriptors, too: that is an OSError like a refusal.
+                # Running out of descriptors is an OSError like a refusal, but no fault of the backend.
+                short = not task.cancelled() and getattr(error, "errno", None) in OWN_SHORTAGE
                 if not task.cancelled() and not isinstance(error, OSError):
                     complain("upstream", "connecting failed: %r", error)
                 if exchange.connection is None:
-                    exchange.end(Status.CONNECT_FAILED)
+                    exchange.end(Status.MOOT if short else Status.CONNECT_FAILED)
 
         task.add_done_callback(connected)
 
@@ -304,6 +331,9 @@
         for upstream in self.upstreams.values():
             while upstream.idle and upstream.idle[0].idle_since < oldest:
                 upstream.idle[0].close()
+        now = time.monotonic()
+        for connection in list(self.all):
+            connection.stalled(now)
 
     def close(self) -> None:
         for task in list(self.connecting):
@@ -317,7 +347,7 @@
     try:
         told = json.loads(data)
         values = [float(told[name]) for name in fields]
-    except (ValueError, TypeError, KeyError, OverflowError):
+    except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
         complain("report", "a load report can't be read")
         return []
     return values if all(0.0 <= v < 1e9 for v in values) else []
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -45,6 +45,7 @@
 class Asked:
     """A client's request as the server read it: what the module is told of it, and what goes on."""
 
+    txn: bytes
     cls: int
     plan: int
     customer: int
@@ -83,6 +84,7 @@
         self.loop, self.settings, self.backends, self.counter = loop, settings, backends, counter
         self.clock = Clock()
         self.tickets: dict[int, Ticket] = {}
+        self.open_ids: set[bytes] = set()   # of the tickets, as the clients named them
         self.waiting = 0        # requests without an answer yet
         self.last_id = 0
         self.ready = False      # whether there is a list to go by
@@ -141,12 +143,17 @@
         self.last_id += 1
         ticket = Ticket(self.last_id, asked, client, self.clock() + asked.time_left)
         self.tickets[ticket.id] = ticket
+        self.open_ids.add(asked.txn)
         self.waiting += 1
         ticket.timer = self.loop.call_later(asked.time_left, self._expire, ticket)
         self.post(api.Request(ticket.id, asked.cls, asked.plan, asked.customer, asked.time_left, asked.units,
                               asked.width, asked.first, asked.is_repeat, asked.is_write))
         return ticket.id
 
+    def is_open(self, txn: bytes) -> bool:
+        """Whether a request of this id has no answer yet, or may still be with a backend."""
+        return txn in self.open_ids
+
     def gone(self, request: int) -> None:
         """The client has closed its connection: nobody is owed an answer; what is out may end."""
         ticket = self.tickets.get(request)
@@ -165,6 +172,7 @@
     def _forget(self, ticket: Ticket) -> None:
         if ticket.client is None and not ticket.out and self.tickets.pop(ticket.id, None) is not None:
             ticket.timer.cancel()
+            self.open_ids.discard(ticket.asked.txn)
 
     def _expire(self, ticket: Ticket) -> None:
         """The client's time is up: what is out is given up, and the module has the last word at once."""
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -12,13 +12,13 @@
 import time
 from collections import deque
 from functools import lru_cache
+from itertools import takewhile
 
 import httptools
 
 from fennelpoint import interface as api
 from fennelpoint.net.backends import HOP_BY_HOP, Answer
 from fennelpoint.net.host import Asked, Host
-from fennelpoint.net.notice import complain
 
 MOST_BODY = 64 * 1024   # bytes
 MOST_HEAD = 16 * 1024   # bytes of request line and fields together
@@ -26,17 +26,20 @@
 MOST_WAITING = 16       # requests written behind one another on one connection
 MOST_BEHIND = 64 * 1024  # bytes of their bodies
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client leaves unread before it is served no more
-HEAD_TIMEOUT = 10.0     # s for a request to come whole
-IDLE_TIMEOUT = 75.0     # s that a connection may stand with nothing open
-LINGER = 1.0            # s to read on after an error, so that its answer is not lost with a reset
+HEAD_TIMEOUT = 2.5      # s for a request to come whole, from the connect or from its first byte
+IDLE_TIMEOUT = 5.0      # s that a connection may stand with nothing open
+LINGER = 0.5            # s to read on after an error, so that its answer is not lost with a reset
+MOST_DRAINED = 1024 * 1024  # bytes read and dropped meanwhile
+YOUNG = 0.25            # s that a new connection has to send its request before it may have to make room
 MOST_LEFT_MS = 600_000  # ms; a longer wait is not meant
 MOST_CUSTOMER = 1 << 33
 MOST_TERMS = 128        # bytes
 ID = re.compile(rb"[!-~]{1,128}")
 ACCOUNT = re.compile(rb"account=[0-9a-f]{16}")
 
-REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large",
-           431: b"Request Header Fields Too Large", 502: b"Bad Gateway", 503: b"Service Unavailable"}
+REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 409: b"Conflict",
+           413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
+           503: b"Service Unavailable"}
 ROUTING = frozenset((b"x-txn", b"x-lane", b"api-plan", b"x-remaining-ms", b"api-terms", b"cookie", b"host",
                      b"content-length", b"transfer-encoding", b"x-resent"))
 NOT_PASSED_ON = HOP_BY_HOP | {b"expect", b"x-remaining-ms"}
@@ -96,7 +99,7 @@
         if not safe:
             lines.append(b"content-length: %d" % len(body))
         customer = self._customer(self._needed(found, b"cookie"))
-        return Asked(cls, plan, customer, int(left) / 1000.0, units, width, first,
+        return Asked(txn, cls, plan, customer, int(left) / 1000.0, units, width, first,
                      found.get(b"x-resent") == b"1", not safe, b"\r\n".join(lines) + b"\r\n", body)
 
     def _needed(self, found: dict[bytes, bytes], name: bytes) -> bytes:
@@ -146,7 +149,7 @@
 
     __slots__ = ("server", "transport", "parser", "waiting", "open", "deaf", "keep", "since", "head_size",
                  "taken", "fresh", "method_url", "headers", "body", "body_size", "in_head", "in_body", "lost",
-                 "choked")
+                 "choked", "place", "__weakref__")
 
     def __init__(self, server: Server) -> None:
         self.server = server
@@ -158,6 +161,7 @@
         self.keep = True                # the request at hand lets the connection stay
         self.lost = False
         self.choked = False             # the client does not read what it was sent
+        self.place: dict[ClientConnection, None] | None = None  # the server's line that it stands in
         self.since = time.monotonic()   # when it fell idle, or the request at hand began
         self.in_head = self.in_body = False
         self._begin()
@@ -172,8 +176,18 @@
         self.transport = transport
         transport.set_write_buffer_limits(high=MOST_UNREAD)
         self.server.connections.add(self)
+        self._stand(self.server.coming)
         self.server.make_room()
 
+    def _stand(self, place: dict[ClientConnection, None] | None) -> None:
+        """Move to the end of the line for those in the same state: each is in the order of `since`."""
+        if self.place is not None:
+            self.place.pop(self, None)
+        self.place = place
+        if place is not None:
+            self.since = time.monotonic()
+            place[self] = None
+
     def pause_writing(self) -> None:
         self.choked = True
 
@@ -183,6 +197,9 @@
 
     def data_received(self, data: bytes) -> None:
         if self.deaf:
+            self.taken += len(data)
+            if self.taken > MOST_DRAINED and self.place is self.server.leaving:
+                self.transport.abort()      # the answer is written; the rest is not worth the reading
             return
         self.fresh = False
         try:
@@ -198,6 +215,8 @@
                 self._fault(BadRequest("the head is too long", 431))
             elif self.taken > MOST_TAKEN:
                 self._fault(BadRequest("it has no end", 413))
+        if (self.in_head or self.in_body) and self.place is self.server.idle:
+            self._stand(self.server.coming)     # its time to come whole runs from now
         self._next()
 
     # What the parser reads.  A fault found here ends the reading, but not before earlier requests' turn.
@@ -205,8 +224,6 @@
     def on_message_begin(self) -> None:
         self._begin()
         self.in_head = self.fresh = True
-        if not self.waiting and self.open is None:
-            self.since = time.monotonic()
 
     def on_url(self, url: bytes) -> None:
         self.method_url += url
@@ -261,8 +278,8 @@
             except BadRequest as fault:
                 return self._fault(fault)
             self.waiting.append((asked, keep))
-        if self.open is None:
-            return
+        if self.open is None and len(self.waiting) <= 1:
+            return      # the usual client: one at a time
         behind = sum(len(asked.body) for asked, _ in self.waiting if isinstance(asked, Asked))
         if len(self.waiting) > MOST_WAITING or behind > MOST_BEHIND:
             self.waiting.pop()
@@ -279,13 +296,16 @@
         """Serve the next request, once the one before has its answer."""
         while self.waiting and self.open is None and not (self.lost or self.choked):
             what, self.keep = self.waiting.popleft()
-            self.since = time.monotonic()
             if isinstance(what, BadRequest):
                 self._write(what.status, (), f"{what}\n".encode(), keep=False)
             elif isinstance(what, bytes):
                 ready = self.server.ready
                 self._write(200 if ready else 503, (), b"ready\n" if ready else b"not ready\n", self.keep)
+            elif self.server.host.is_open(what.txn):
+                # Guards against a second copy in another's name: an id is new with every request.
+                self._write(409, (), b"this id is open\n", keep=False)
             else:
+                self._stand(None)
                 self.open = -1      # in case the answer comes before the id is known
                 request = self.server.host.admit(self, what)
                 self.open = request if self.open == -1 else self.open
@@ -315,9 +335,10 @@
         lines.append(b"content-length: %d" % len(body))
         if not keep:
             lines.append(b"connection: close")
-        self.since = time.monotonic()
         self.transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
-        if not keep:
+        if keep:
+            self._stand(self.server.coming if self.in_head or self.in_body else self.server.idle)
+        else:
             self._end()
 
     def _end(self) -> None:
@@ -325,11 +346,12 @@
 
         Guards the answer: closing with unread bytes would reset the connection and take it along.
         """
-        self.deaf = True
+        self.deaf, self.taken = True, 0
         self.waiting.clear()
+        self.headers, self.body = [], []
+        self._stand(self.server.leaving)
         if self.transport.can_write_eof():
             self.transport.write_eof()
-        self.server.loop.call_later(LINGER, self.transport.close)
 
     def eof_received(self) -> bool:
         """The client has closed its side: gone, and owed nothing more."""
@@ -338,25 +360,23 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.lost = self.deaf = True
         self.server.connections.discard(self)
+        self._stand(None)
         if self.open is not None and self.open > 0:
             self.server.host.gone(self.open)
         self.open = None
         self.waiting.clear()
+        # Guards the memory: parser and protocol hold each other, and collections are rare.
+        self.parser = None
 
     # Upkeep
 
-    @property
-    def idle(self) -> bool:
-        return self.open is None and not self.waiting and not self.in_head and not self.in_body
-
-    def overdue(self, now: float) -> None:
-        """Close what has been idle for long; tell off a request that doesn't come whole."""
-        if self.deaf or self.open is not None or self.waiting:
-            return
-        if self.idle:
-            if now - self.since > IDLE_TIMEOUT:
-                self.transport.close()
-        elif now - self.since > HEAD_TIMEOUT:
+    def overdue(self) -> None:
+        """A request that doesn't come whole is told off; nobody waits for one that never began."""
+        if self.choked or self.deaf:
+            self.transport.abort()      # it does not read, so there is no telling it
+        elif not (self.in_head or self.in_body):
+            self.transport.close()
+        else:
             self._fault(BadRequest("it has not come whole in time", 408))
             self._next()
 
@@ -368,6 +388,10 @@
         self.loop, self.host, self.most = loop, host, most
         self.reader = Reader(host.settings)
         self.connections: set[ClientConnection] = set()
+        # Those without a request that is open, in three lines, the oldest first; the others stand in none.
+        self.coming: dict[ClientConnection, None] = {}   # new, or a request has begun to come
+        self.idle: dict[ClientConnection, None] = {}     # answered, and kept
+        self.leaving: dict[ClientConnection, None] = {}  # told that they are closed
         self.draining = False
         self.listener: asyncio.Server | None = None
 
@@ -380,18 +404,26 @@
             lambda: ClientConnection(self), *address, backlog=1024, reuse_address=True)
 
     def make_room(self) -> None:
-        """Close the connection that has been idle for longest when there are too many."""
-        if len(self.connections) > self.most:
-            idle = [c for c in self.connections if c.idle and not c.deaf]
-            if len(idle) > 1:
-                min(idle, key=lambda c: c.since).transport.close()
-            else:
-                complain("clients", "%d connections are open and none is idle", len(self.connections))
+        """Close one connection when there are too many: one that is owed nothing, the oldest of its kind.
+
+        Those that say nothing go before those that are kept, as they come by hundreds; one just opened has
+        a moment to send its request.
+        """
+        if len(self.connections) <= self.most:
+            return
+        oldest = next(iter(self.coming))
+        if self.leaving:
+            next(iter(self.leaving)).transport.abort()
+        elif oldest.since < time.monotonic() - YOUNG or not self.idle:
+            oldest.transport.abort()
+        else:
+            next(iter(self.idle)).transport.close()
 
     def sweep(self) -> None:
         now = time.monotonic()
-        for connection in list(self.connections):
-            connection.overdue(now)
+        for line, most in ((self.coming, HEAD_TIMEOUT), (self.idle, IDLE_TIMEOUT), (self.leaving, LINGER)):
+            for connection in list(takewhile(lambda c: c.since < now - most, line)):  # noqa: B023
+                connection.overdue()
 
     def stop_listening(self) -> None:
         if self.listener is not None:
@@ -404,6 +436,7 @@
             connection.transport.abort()
 
     def close_idle(self) -> None:
-        for connection in list(self.connections):
-            if connection.idle and not connection.deaf:
-                connection.transport.close()
+        for connection in list(self.idle):
+            connection.transport.close()
+        for connection in [c for c in self.coming if not (c.in_head or c.in_body)]:
+            connection.transport.close()
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import inf
 
 from fennelpoint.interface import BackendEntry, BackendState, Request
 
@@ -69,7 +70,9 @@
     aim_at: float
     ends: float
     worth: float
+    half: float = inf       # when half of its time is up
     attempts: int = 0
+    reached: bool = False           # an attempt came to a backend
     charged: bool = False           # its units were taken
     inside: bool | None = None      # the quota, by the answer of its own counter call
     ran_at: float | None = None     # send time of the first attempt that may have run
--- a/fennelpoint/upkeep.py
+++ b/fennelpoint/upkeep.py
@@ -158,5 +158,8 @@
 def forget(customers: dict[int, Customer], most: int, before: float) -> None:
     """Drop customers that nothing was heard of since then, looking at the longest unseen ones only."""
     for c in list(islice(customers.values(), most)):
-        if c.seen < before and not c.open and not c.held and c.cap is None:
-            del customers[c.key]
+        if c.seen >= before:
+            return
+        del customers[c.key]
+        if c.open or c.held or c.cap is not None:
+            customers[c.key] = c    # to the end: guards the memory, as it would hide all those behind it
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -265,3 +265,27 @@
     customer.calling = 1.0
     world.give(api.CounterReply(customer.key, api.Status.OK, 5.0, 0.001))
     assert world.control.timers.at[TOKEN_PUMP] - world.now < 0.03
+
+
+def test_customer_that_cannot_be_forgotten_yet_does_not_hide_those_behind_it():
+    world = wide()
+    for customer in (1, 2, 3):
+        (send,) = world.ask(customer=customer)
+        world.answer(send.request, send.backend)
+    for customer in (1, 2):
+        world.control.customers[customer].cap = 1.0     # cut, and never seen again
+    world.wait(20.0)
+    for customer in range(10, 14):
+        world.ask(customer=customer)
+    assert 3 not in world.control.customers
+
+
+def test_try_that_no_backend_has_had_is_refused_before_half_of_its_time():
+    world = wide()
+    admitted(world, 4)
+    began = world.now
+    assert world.ask(left=0.8) == []    # its units come after 0.5 s, in time for its aim
+    ended = []
+    while world.control.line.held:
+        ended += world.wait(0.01)
+    assert kinds(ended) == [api.Refuse] and world.now - began < 0.4
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -1,7 +1,9 @@
 """Client connections: one answer for each request, nothing malformed to a backend, and the end of it all."""
 
 import asyncio
+import gc
 import re
+import weakref
 
 import pytest
 from sockets import Backend, ask, ok, read_message, request, run, until, world
@@ -239,3 +241,127 @@
             writer.close()
 
     run(play())
+
+
+def test_id_that_is_open_on_another_connection_is_refused_and_not_sent_on():
+    async def play() -> None:
+        backend = Backend(lambda *_: None)
+        async with world(backend) as made:
+            reader, writer = await made.connect()
+            writer.write(request("book", b"x", left=20_000, X_Txn="one"))
+            await until(lambda: backend.seen)
+            line, fields, _ = await ask(made, request(X_Txn="one"))
+            assert line.split()[1] == "409" and fields["connection"] == "close" and len(backend.seen) == 1
+            backend.writers[0].write(ok(b"yes"))
+            assert (await read_message(reader))[2] == b"yes"
+            writer.close()
+            await until(lambda: not made.ingress.host.tickets)
+            backend.answer = lambda *_: ok(b"yes")
+            assert (await ask(made, request(X_Txn="one")))[0].endswith("200 OK")
+
+    run(play())
+
+
+@pytest.mark.parametrize("sent, gets", [
+    (b"", b""),
+    (b"GET /api HTTP/1.1\r\nX-Txn: 1\r\n", b"HTTP/1.1 408"),
+    (request("book", b"abc", Content_Length="2000"), b"HTTP/1.1 408"),
+    (request("book", b"5\r\nab", Transfer_Encoding="chunked"), b"HTTP/1.1 408"),
+], ids=["silence", "half a head", "half a body", "half a chunk"])
+def test_request_that_does_not_come_whole_is_ended_within_three_seconds(sent, gets):
+    async def play() -> None:
+        backend = Backend()
+        async with world(backend) as made:
+            reader, writer = await made.connect()
+            began = asyncio.get_running_loop().time()
+            writer.write(sent)
+            assert (await reader.read()).startswith(gets)
+            assert asyncio.get_running_loop().time() - began < 3.0
+            writer.close()
+            await until(lambda: not made.ingress.server.connections)
+            assert not backend.seen
+
+    run(play())
+
+
+def test_slow_client_is_served():
+    async def play() -> None:
+        async with world(Backend()) as made:
+            data = request("book", b"abc" * 100, left=20_000)
+            reader, writer = await made.connect()
+            for at in range(0, len(data), len(data) // 8):
+                writer.write(data[at:at + len(data) // 8])
+                await asyncio.sleep(0.1)
+            assert (await read_message(reader))[0].endswith("200 OK")
+            writer.close()
+
+    run(play())
+
+
+def test_crowd_that_says_nothing_makes_room_and_those_that_ask_are_served():
+    async def play() -> None:
+        async with world(Backend()) as made:
+            server = made.ingress.server
+            server.most = 20
+            kept = await made.connect()
+            kept[1].write(request())
+            await read_message(kept[0])
+            crowd = [await made.connect() for _ in range(15)]
+            await until(lambda: len(server.coming) == 15)
+            for connection in server.coming:
+                connection.since -= 1.0     # they have had their moment
+            crowd += [await made.connect() for _ in range(15)]
+            await until(lambda: len(server.connections) <= 20)
+            for _ in range(3):
+                assert (await ask(made, request()))[0].endswith("200 OK")
+            kept[1].write(request())
+            assert (await read_message(kept[0]))[0].endswith("200 OK")
+            for _, writer in (*crowd, kept):
+                writer.close()
+
+    run(play())
+
+
+def test_client_that_goes_on_sending_after_its_error_is_cut_off():
+    async def play() -> None:
+        async with world(Backend()) as made:
+            reader, writer = await made.connect()
+            writer.write(request("book", bytes(1000), Content_Length="60000000"))
+            assert (await read_message(reader))[0].split()[1] == "413"
+            sent = 0
+            while made.ingress.server.connections:
+                try:
+                    writer.write(bytes(100_000))
+                    await writer.drain()
+                except (ConnectionError, RuntimeError):
+                    break
+                sent += 100_000
+                await asyncio.sleep(0)
+            assert sent < 20_000_000
+            await until(lambda: not made.ingress.server.connections)
+
+    run(play())
+
+
+def test_closed_connections_are_freed_without_a_collection():
+    """Parser and protocol hold each other, and collections are rare: a long day gathers what was closed."""
+    async def play() -> None:
+        backend = Backend()
+        async with world(backend) as made:
+            gc.collect()
+            gc.disable()
+            try:
+                gone = []
+                for _ in range(5):
+                    reader, writer = await made.connect()
+                    writer.write(request())
+                    await read_message(reader)
+                    gone += map(weakref.ref, (*made.ingress.server.connections, *made.ingress.backends.all))
+                    writer.close()
+                    made.ingress.backends.close_idle("s-0")
+                    await until(lambda: not made.ingress.server.connections and not made.ingress.backends.all)
+                await until(lambda: not any(ref() for ref in gone), 5.0)
+            finally:
+                gc.enable()
+
+    run(play())
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -5,8 +5,8 @@
 import pytest
 from sockets import Backend, ask, member, ok, request, run, until, world
 
-from fennelpoint.interface import BackendState, Status
-from fennelpoint.net.backends import Exchange
+from fennelpoint.interface import BackendState, Probe, Status
+from fennelpoint.net.backends import Exchange, load_report
 
 # Each request is asked in turn; what the client gets is told by the status.
 SERVED, REFUSED, FAILED = "200", "503", "502"
@@ -181,3 +181,59 @@
             assert not made.ingress.host.tickets
 
     run(play())
+
+
+@pytest.mark.parametrize("answer", [
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nyes",
+    b"HTTP/1.1 200 OK\r\n\r\nyes",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nyes",
+    b"HTTP/1.1 200 OK\r\nX: ",
+], ids=["gigabytes", "no end told", "length over what comes", "half a head"])
+def test_answer_that_will_not_come_whole_does_not_hold_its_request(answer):
+    async def play() -> None:
+        backend = Backend(lambda *_: answer)
+        async with world(backend) as made:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            assert status(await ask(made, request("book", b"x", left=20_000))) == FAILED
+            assert loop.time() - began < 10.0
+            await until(lambda: not made.ingress.backends.all)
+
+    run(play())
+
+
+def test_our_own_lack_of_connections_is_not_the_backends_fault():
+    async def play() -> None:
+        backend = Backend(lambda *_: None)
+        async with world(backend) as made:
+            pool, ended = made.ingress.backends, []
+            reader, writer = await made.connect()
+            writer.write(request("book", b"x", left=20_000))
+            await until(lambda: backend.seen)
+            pool.most = 1
+            pool.begin(Exchange(lambda: b"", lambda *end: ended.append(end)), "s-0")
+            assert ended == [(Status.MOOT, None)]
+            assert status(await ask(made, request(left=2000))) == REFUSED
+            known = made.ingress.host.controller.fleet.known["s-0"]
+            assert known.fails == 0 and known.slow == 1.0
+            writer.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("data", [b"[" * 60_000, b'{"util": NaN}', b'{"util": 1e999}', b"\xff", b"", b"3"])
+def test_load_report_that_cannot_be_read_is_none(data):
+    assert load_report(data, ["util"]) == []
+
+
+def test_probe_whose_report_is_nested_too_deep_is_told_of():
+    async def play() -> None:
+        backend = Backend(lambda line, *_: ok(b"[" * 60_000))
+        async with world(backend, report={"via": "probe", "fields": "util"}) as made:
+            host, told = made.ingress.host, []
+            host.controller.handle = lambda event, now: told.append(event) or []
+            host._probe(Probe("s-0"))
+            await until(lambda: told)
+            assert told[0].report == [] and told[0].status is Status.OK
+
+    run(play())
