--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -272,9 +272,9 @@
     for customer in (1, 2, 3):
         (send,) = world.ask(customer=customer)
         world.answer(send.request, send.backend)
-    for customer in (1, 2):
-        world.control.customers[customer].cap = 1.0     # cut, and never seen again
     world.wait(20.0)
+    for customer in (1, 2):
+        world.control.customers[customer].cap = 1.0     # cut meanwhile
     for customer in range(10, 14):
         world.ask(customer=customer)
     assert 3 not in world.control.customers
