The quota's store is filled first and used then: an idle customer's full store saves nothing

Cause: at a total, the store was reckoned as store + rate * span - asked and held to the burst after that, so the fill that a full store lets run over paid for the burst that followed the idle time. The test fails without the mend.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -132,7 +132,8 @@
         keep = 0.5 ** (span / ASKED_HALF)
         c.ours, c.alls = c.ours * keep + own, c.alls * keep + everyone
         c.share = max(unused, c.ours / c.alls)
-        c.store = min(plan.burst, max(0.0, c.store + plan.rate * span - everyone))
+        # Filled first, then used: guards against counting what a full store let run over while it was idle.
+        c.store = max(0.0, min(plan.burst, c.store + plan.rate * span) - everyone)
         c.level = max(c.store * c.share, min(c.level, self.settings.most_units))
 
     def _ask_counter(self, t: Try, now: float) -> None:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -289,3 +289,16 @@
     while world.control.line.held:
         ended += world.wait(0.01)
     assert kinds(ended) == [api.Refuse] and world.now - began < 0.4
+
+
+def test_full_store_saves_nothing_while_its_customer_is_idle():
+    world, totals = wide(), {}
+    for _ in range(2):      # known to the counter, and full
+        world.ask()
+        world.wait(2.0)
+        world.count_replies(totals=totals)
+    world.wait(8.0)
+    world.ask()
+    world.count_replies(totals=totals, others=5.0)      # a burst elsewhere, now
+    customer, plan = world.control.customers[1], world.settings.plans[HARD]
+    assert customer.store == pytest.approx(plan.burst - 6.0)
