One event is blamed on a backend once, and fades in 1.5 s: others are not overrun for it

A probe by the second shows connections of six of eight backends break within a second (75 resets); each attempt out counted as a failure of its own, slowness 20 to 50, halving in 4 s only, so that for 12 s all went to the two others, whose latency then cut the window from 20 to 5: 77 % refused with quota unused. Ruled out: descriptors (63), CPU (0.15 s a second), the counter. At fault: _learn blamed each attempt, also those sent before the failure already seen; SLOWEST and SLOW_HALF.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -26,7 +26,7 @@
 WINDOW, CROWDED = 1.0, 0.3  # burst spans that its asks are counted over; of the time-out: stood in line
 ASK_GAIN, ASK_EASE, ASK_LOSS, LEAST_ASKING = 0.05, 0.9, 0.6, 0.1  # asking share: quick, crowded, none; least
 FIRST_GUESS, FASTER, SLOWER, LEARN = 0.12, 0.1, 0.03, 0.2  # of the aim: a first latency; an answer's weights
-FAILED, SLOWEST, SLOW_HALF = 4.0, 64.0, 4.0  # a failure looks so much slower, at most; s to fade by half
+FAILED, SLOWEST, SLOW_HALF = 4.0, 16.0, 1.5  # a failure looks so much slower, at most; s to fade by half
 REST_MOST, TARGET = 3.0, 0.25  # s, longest rest after failures; of the aim, used behind: the rest to wait in
 FIRST_OUT, WINDOW_CUT, LEAST_OUT = 12.0, 0.85, 0.1  # own attempts out: a backend at first, of all; cut; least
 NEAR_TIE, CANDIDATES = 1.15, 16  # how much better another zone must be; an own part of a large fleet
@@ -372,8 +372,12 @@
             b.slow, b.slow_at = slow + LEARN * (o.latency / self.typical[cls] - slow), now
             self._press(o.latency / aim - min(TARGET, self.typical[cls] / aim), o.latency, now)
         elif o.status not in (api.Status.OK, api.Status.CANCELLED, api.Status.MOOT):
-            self._fail(b, now)
-            b.fails, b.rest_until = b.fails + 1, now + min(REST_MOST, 2 * PUMP * 2.0 ** b.fails)
+            # Guards against blaming one event for each attempt that it ended: when all connections break at
+            # once, a backend that is well again would be shunned for many seconds.
+            if now - o.latency >= b.failed_at:
+                self._fail(b, now)
+                b.fails, b.rest_until = b.fails + 1, now + min(REST_MOST, 2 * PUMP * 2.0 ** b.fails)
+                b.failed_at = now
 
     def _press(self, ratio: float, latency: float, now: float) -> None:
         """More attempts may be out while little of the aim is lost to crowding; under one, we rest."""
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -21,6 +21,7 @@
     reported: float = 0.0   # requests it holds, by its own word
     reported_at: float = -1e9
     fails: int = 0          # attempts in a row that failed
+    failed_at: float = -1e9  # when the last of them ended; what was sent before tells no more
     rest_until: float = 0.0 # nothing is sent before
 
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,7 +1,7 @@
 """Choice of backend: expected wait, stalls, fast errors, black holes, full queues."""
 
 import pytest
-from conftest import READY, SAFE, World, kinds, make_settings
+from conftest import READY, SAFE, UNSAFE, World, kinds, make_settings
 
 from fennelpoint import control
 from fennelpoint import interface as api
@@ -211,3 +211,14 @@
     sent = drive(world, 5.0, 20,
                  lambda b: (api.Status.CONNECT_FAILED, 0.002) if b == "a" else (api.Status.OK, 0.1))
     assert sent["a"] < 0.2 * sent["b"] and not world.control.line.open
+
+
+def test_connections_that_break_together_are_one_failure():
+    world = World(make_settings())
+    world.backends("a")
+    sends = [world.ask(cls=UNSAFE)[0] for _ in range(3)]
+    world.now += 0.1
+    for send in sends:
+        world.answer(send.request, send.backend, api.Status.RESET, latency=0.1)
+    backend = world.control.fleet.known["a"]
+    assert backend.fails == 1 and backend.slow <= control.FAILED
