The counter is told what was taken from a quota, not what was asked: refused tries emptied full stores

The store of the customer, reckoned over all four ingresses, had room for 6,882 of 7,496 refused tries. Lines at fault: `_count` told asked units, `_counted` took them from the store, `new_total`: whoever asks for 1.2 of its quota looked empty everywhere, and each total cut its slices to one request.

Now: taken units to the customer's name, monotone, so all ingresses reckon one store; what was asked and not taken to a second name, for the shares; both read more often while the customer is short; a first total counts; what others will hardly need until the next read may be taken here. Tried and dropped on the way: asked units told as before and refused ones given back from the second name (a reader that had missed some was off by up to three bursts).

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -22,6 +22,9 @@
 RATE_MEMORY, IDLE_RATE = 0.7, 0.05  # past's weight in averages, a period; units a second that count as none
 PUMP, LATE_MARGIN = 0.02, 1.5  # s between looks at what waits; usual latencies between release and aim
 SILENT_AFTER, BACK_OFF_MOST, FORGET_COUNT = 3.0, 8.0, 60.0  # s: silent; longest pause; a count's longest life
+SHORT_FOR, READ_PART, READ_LEAST = 6.0, 0.25, 0.1  # s: short of units lately; of a store's fill, s: read then
+OTHERS, DEBT, REPAY = 1.5, 0.25, 0.5  # what others may take over the expected; of the burst; paid at a read
+SPARED = 1 << 40    # over all keys; a key and this is the counter's name for what was asked and not taken
 ASKED_HALF, SPARSE = 2.0, 10.0  # s: asks count half in a share; to fill one request: past it each try asks
 WINDOW, CROWDED = 1.0, 0.3  # burst spans that its asks are counted over; of the time-out: stood in line
 ASK_GAIN, ASK_EASE, ASK_LOSS, LEAST_ASKING = 0.05, 0.9, 0.6, 0.1  # asking share: quick, crowded, none; least
@@ -103,38 +106,81 @@
         plan, most = self.settings.plans[c.plan], self.settings.most_units
         fill(c, plan, max(plan.burst * c.share, min(plan.burst, most)), max(c.cap or 0.0, most), now)
 
-    def _count(self, c: Customer, units: float, now: float) -> None:
-        """Tell the counter what was asked, once a period, and learn what all ingresses were asked."""
-        c.fresh, c.own = c.fresh + units, c.own + units
-        if self.settings.has_counter and not c.calling and now >= c.count_at:
-            c.calling, c.fresh, c.count_at = c.fresh, 0.0, now + COUNT_PERIOD
-            self.out.append(api.Count(c.key, c.calling, FORGET_COUNT))
+    def _count(self, c: Customer, now: float) -> None:
+        """Tell the counter what was taken from the quota, once a period, and learn what all ingresses took.
+
+        What is refused takes nothing: told as taken, it emptied a store that no one had used, at every
+        ingress, for all who ask for about their quota, and for the dense ones first.  It is told to a name of
+        its own, as the shares go by all that is asked, and only while the customer is short here, as are the
+        reads within the period.  This covers retries, floods and lost attempts alike.  It would hurt where
+        many customers are short at once and the counter can't bear three calls for one.
+        """
+        if not self.settings.has_counter or c.calling is not None or now < c.count_at:
+            return
+        plan, period = self.settings.plans[c.plan], COUNT_PERIOD
+        if short := plan.rate > 0.0 and now - c.short_at < SHORT_FOR:
+            period = min(period, max(READ_LEAST, READ_PART * plan.burst / plan.rate))
+        c.calling, c.fresh, c.count_at = c.fresh, 0.0, now + period
+        self.out.append(api.Count(c.key, c.calling, FORGET_COUNT))
+        if short and c.sparing is None:
+            c.sparing, c.spared = c.spared, 0.0
+            self.out.append(api.Count(c.key + SPARED, c.sparing, FORGET_COUNT))
+        elif not short:
+            c.spared, c.spared_total = 0.0, None
 
     def _counted(self, reply: api.CounterReply, now: float) -> None:
         ok = reply.status is api.Status.OK and 0.0 <= reply.total < inf
+        if reply.name >= SPARED:
+            return self._spared(reply, ok)
         if (c := self.customers.get(reply.name)) is None or c.asking:
             return self._answered(c, reply, ok, now) if c else None
-        added, c.calling, c.fails = c.calling, 0.0, 0 if ok else c.fails + 1
+        added, c.calling, c.fails = c.calling or 0.0, None, 0 if ok else c.fails + 1
         if c.held:  # what it may do is told anew: look again at what waits
             self.out += self.timers.wake(TOKEN_PUMP, now + PUMP, now)
         if not ok:
             c.count_at = now + self.random.uniform(0.5, 1.0) * min(BACK_OFF_MOST, COUNT_PERIOD * 2 ** c.fails)
             c.fresh += added if reply.status is not api.Status.TIMEOUT else 0.0  # it may have been added
             if now - c.total_at > SILENT_AFTER:  # the even share while the counter is silent
-                c.share, c.ours, c.alls = 1.0 / c.width, 0.0, 0.0
+                c.share, c.ours, c.alls, c.spans = 1.0 / c.width, 0.0, 0.0, 0.0
             return
         plan, (own, everyone, span) = self.settings.plans[c.plan], new_total(c, reply.total, added, now)
-        if not everyone:  # the first total, or the counter lost its count
-            c.share, c.ours, c.alls = 1.0 / c.width, 0.0, 0.0
-            return
         self._fill(c, now)
-        unused = max(0.0, 1.0 - everyone / span / plan.rate) / c.width if plan.rate else 0.0
-        keep = 0.5 ** (span / ASKED_HALF)
-        c.ours, c.alls = c.ours * keep + own, c.alls * keep + everyone
-        c.share = max(unused, c.ours / c.alls)
+        if everyone is None:    # the first total, or the counter lost its count
+            c.share, c.ours, c.alls, c.spans = 1.0 / c.width, 0.0, 0.0, 0.0
+            everyone = min(reply.total, own * c.width)
+        else:
+            keep, spared = 0.5 ** (span / ASKED_HALF), c.sparing or 0.0
+            c.ours, c.alls = c.ours * keep + own + spared, c.alls * keep + everyone + spared
+            c.spans = c.spans * keep + span
+            self._share(c)
         # Filled first, then used: guards against counting what a full store let run over while it was idle.
-        c.store = max(0.0, min(plan.burst, c.store + plan.rate * span) - everyone)
-        c.level = max(c.store * c.share, min(c.level, self.settings.most_units))
+        c.store = max(-DEBT * plan.burst, min(plan.burst, c.store + plan.rate * span) - everyone)
+        kept = min(c.level, self.settings.most_units) + min(0.0, c.store) * c.share * REPAY
+        c.level = max(0.0, kept, self._slice(c))
+
+    def _spared(self, reply: api.CounterReply, ok: bool) -> None:
+        """What was asked everywhere and not taken counts for the shares."""
+        if (c := self.customers.get(reply.name - SPARED)) is None or c.sparing is None:
+            return
+        added, c.sparing = c.sparing, None
+        if not ok:
+            c.spared += added if reply.status is not api.Status.TIMEOUT else 0.0
+            return
+        before, c.spared_total = c.spared_total, reply.total
+        if c.spans and before is not None and reply.total >= before:
+            c.alls += max(0.0, reply.total - before - added)
+            self._share(c)
+
+    def _share(self, c: Customer) -> None:
+        """The larger of the even share of what is not asked for, and of the own part of what is."""
+        rate = self.settings.plans[c.plan].rate
+        unused = max(0.0, 1.0 - c.alls / c.spans / rate) / c.width if rate else 0.0
+        c.share = max(unused, c.ours / c.alls if c.alls else 1.0 / c.width)
+
+    def _slice(self, c: Customer) -> float:
+        """What may be taken of the store until the next read: the share, or what others hardly need."""
+        others = OTHERS * (c.alls - c.ours) / c.spans * (c.count_at - c.total_at) if c.spans else c.store
+        return max(c.store * c.share, c.store - others)
 
     def _ask_counter(self, t: Try, now: float) -> None:
         """A sparse customer's try waits for the total of its own call; a counter in trouble is asked less."""
@@ -172,8 +218,8 @@
         self._fill(c, now)
         if c.window:
             return self._ask_counter(t, now)
-        self._count(c, ask.units, now)
         self._enter(t, now)
+        self._count(c, now)
 
     def _enter(self, t: Try, now: float) -> None:
         """Send a new try, hold it while its aim can be met, or refuse it at once."""
@@ -199,6 +245,7 @@
             room = not plan.rate or (c.level >= units if t.inside is None else t.inside)
             inside = room and not (plan.open_limit and c.open >= max(1, round(plan.open_limit * c.share)))
             if not inside and (plan.over_worth <= 0.0 or self.pressed):
+                c.short_at = now
                 return False
         full = now < self.rest_until or self.fleet.out >= max(1.0, self.window if inside else self.window / 2)
         if full or (b := self._choose(t, now)) is None:
@@ -206,6 +253,8 @@
         if not t.charged:
             c.ceiling, c.cap_level, c.sent = c.ceiling - units, c.cap_level - units, c.sent + units
             c.level -= min(c.level, units) if inside and plan.rate else 0.0
+            c.fresh, c.own = c.fresh + units * inside, c.own + units * inside
+            c.spared += units * (not inside)
             self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
         self.line.release(t)
         t.charged, t.picked, t.attempts, work = True, None, t.attempts + 1, self.typical[t.ask.cls]
@@ -254,6 +303,7 @@
         cls = self.settings.classes[t.ask.cls]
         harmless = self._allowed(t, now) and (t.ran_at is None or cls.effect is api.Effect.SAFE
                                               or cls.group is api.Group.ALL)
+        t.customer.spared += t.ask.units * (not t.charged)
         advice = min(self.settings.max_advice, wait) if self.settings.may_advise else 0.0
         self.out.append(api.Refuse(t.ask.request, advice) if harmless else api.Fail(t.ask.request))
         self.line.end(t.ask.request)
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -47,11 +47,16 @@
     window: float = 0.0     # s that a sparse customer's asks are counted over; 0: it is not sparse
     asking: list[tuple[Try, float]] = field(default_factory=list)  # tries whose call is out, and its amount
     fails: int = 0          # calls in a row without an answer
-    fresh: float = 0.0      # asked since the last call
-    own: float = 0.0        # asked since the last total
+    fresh: float = 0.0      # taken from the quota since the last call
+    own: float = 0.0        # taken since the last total
+    spared: float = 0.0     # asked and not taken since the last call
+    sparing: float | None = None    # told of that by the call that is out, if one is
+    spared_total: float | None = None   # what all ingresses have told of it
+    short_at: float = -1e9  # when units were last missing
     ours: float = 0.0       # asked here, fading
     alls: float = 0.0       # asked everywhere, fading
-    calling: float = 0.0    # told by the call that is out
+    calling: float | None = None    # told by the call that is out, if one is
+    spans: float = 0.0      # s that these were asked in, fading alike
     ceiling: float = 0.0    # units under the ceiling
     open: int = 0           # attempts out
     held: float = 0.0       # units waiting
--- a/fennelpoint/upkeep.py
+++ b/fennelpoint/upkeep.py
@@ -143,16 +143,16 @@
     return [b for b in backends if entry is not None and getattr(b.entry, part) == getattr(entry, part)]
 
 
-def new_total(c: Customer, total: float, added: float, now: float) -> tuple[float, float, float]:
-    """What was asked here and everywhere since the last total, and how long ago that was.
+def new_total(c: Customer, total: float, added: float, now: float) -> tuple[float, float | None, float]:
+    """What was taken here and everywhere since the last total, and how long ago that was.
 
-    Nothing was asked everywhere where there is no last total to compare with: at the first one, or when
-    the counter has lost its count.
+    Everywhere it is not known where there is no last total to compare with: at the first one, or when the
+    counter has lost its count.
     """
-    span, everyone = now - c.total_at, total - c.total if c.total is not None else -1.0
+    span, before = now - c.total_at, c.total
     own, c.own, c.total, c.total_at = c.own - c.fresh, c.fresh, total, now
-    compares = span > 0.0 and own > 0.0 and everyone >= added - 0.01
-    return own, max(everyone, own) if compares else 0.0, span
+    compares = span > 0.0 and before is not None and total - before >= added - 0.01
+    return own, max(total - before, own) if compares else None, span
 
 
 def forget(customers: dict[int, Customer], most: int, before: float) -> None:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -236,7 +236,9 @@
     for _ in range(100):
         sent += kinds(world.ask()).count(api.Send)
         sent += kinds(world.wait(0.02)).count(api.Send)
-    assert world.control.customers[1].own + sum(c.amount for c in world.counts) >= 100.0
+    customer = world.control.customers[1]
+    told = sum(c.amount for c in world.counts)
+    assert told + customer.fresh + customer.spared + customer.held == 100.0
     assert sent <= 4 + 2 * 2 + 2  # the burst's half, two units a second here, one held
 
 
