--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -22,9 +22,10 @@
 RATE_MEMORY, IDLE_RATE = 0.7, 0.05  # past's weight in averages, a period; units a second that count as none
 PUMP, LATE_MARGIN = 0.02, 3.0  # s between looks at what waits; usual latencies between release and aim
 SILENT_AFTER, BACK_OFF_MOST, FORGET_COUNT = 3.0, 8.0, 60.0  # s: silent; longest pause; a count's longest life
-SHORT_FOR, READ_PART, READ_LEAST = 6.0, 0.25, 0.15  # s: short lately; of a store's fill, s: read then
-OTHERS, DEBT, REPAY = 1.5, 0.1, 0.5   # what others may take over the expected; of the burst; paid at a read
-LOW = 0.5   # of what a read granted: read anew once less is left
+SHORT_FOR, READ_LEAST = 6.0, 0.15  # s after units were missing; s between two reads
+READ_PART, LOW_PART = 0.25, 0.1  # of the s in which a store fills, between reads: while short; when low
+OTHERS, DEBT, REPAY = 1.5, 0.1, 0.5  # what others may take over the expected; of the burst; paid at a read
+LOW, KEPT = 0.5, 0.35  # of what a read granted: read anew below; of the even part of a burst, kept at a read
 SPARED = 1 << 40    # over all keys; a key and this is the counter's name for what was asked and not taken
 ASKED_HALF, SPARSE = 2.0, 10.0  # s: asks count half in a share; to fill one request: past it each try asks
 WINDOW, CROWDED = 1.0, 0.3  # burst spans that its asks are counted over; of the time-out: stood in line
@@ -119,15 +120,17 @@
         """
         if not self.settings.has_counter or c.calling is not None:
             return
-        if now < c.count_at and (c.fails or c.level >= LOW * c.granted or now < c.total_at + READ_LEAST):
-            return
         plan, period = self.settings.plans[c.plan], COUNT_PERIOD
+        fills = plan.burst / plan.rate if plan.rate else inf
+        low = c.level < LOW * c.granted and not c.fails
+        if now < (min(c.count_at, c.total_at + max(READ_LEAST, LOW_PART * fills)) if low else c.count_at):
+            return
         if short := plan.rate > 0.0 and now - c.short_at < SHORT_FOR:
-            period = min(period, max(READ_LEAST, READ_PART * plan.burst / plan.rate))
+            period = min(period, max(READ_LEAST, READ_PART * fills))
         c.calling, c.fresh, c.count_at = c.fresh, 0.0, now + period
         self.out.append(api.Count(c.key, c.calling, FORGET_COUNT))
-        if short and c.sparing is None:
-            c.sparing, c.spared = c.spared, 0.0
+        if short and c.sparing is None and now >= c.spare_at:
+            c.sparing, c.spared, c.spare_at = c.spared, 0.0, now + 2.0 * COUNT_PERIOD
             self.out.append(api.Count(c.key + SPARED, c.sparing, FORGET_COUNT))
         elif not short:
             c.spared, c.spared_total = 0.0, None
@@ -159,7 +162,9 @@
             self._share(c)
         # Filled first, then used: guards against counting what a full store let run over while it was idle.
         c.store = max(-DEBT * plan.burst, min(plan.burst, c.store + plan.rate * span) - everyone)
-        kept = min(c.level, self.settings.most_units) + min(0.0, c.store) * c.share * REPAY
+        # Guards against stores that are small beside a request: each ingress kept one, which made up a burst.
+        kept = min(c.level, self.settings.most_units, KEPT * plan.burst / c.width)
+        kept += min(0.0, c.store) * c.share * REPAY
         c.granted = c.level = max(0.0, kept, self._slice(c))
 
     def _spared(self, reply: api.CounterReply, ok: bool) -> None:
@@ -183,8 +188,10 @@
 
     def _slice(self, c: Customer) -> float:
         """What may be taken of the store until the next read: the share, or what others hardly need."""
-        others = OTHERS * (c.alls - c.ours) / c.spans * (c.count_at - c.total_at) if c.spans else c.store
-        return max(c.store * c.share, c.store - others)
+        if not c.spans:
+            return c.store * c.share
+        span = max(READ_LEAST, c.count_at - c.total_at)     # the total may have come late
+        return max(c.store * c.share, c.store - OTHERS * (c.alls - c.ours) / c.spans * span)
 
     def _ask_counter(self, t: Try, now: float) -> None:
         """A sparse customer's try waits for the total of its own call; a counter in trouble is asked less."""
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -52,6 +52,7 @@
     granted: float = 0.0    # units in the bucket at the last total
     spared: float = 0.0     # asked and not taken since the last call
     sparing: float | None = None    # told of that by the call that is out, if one is
+    spare_at: float = 0.0   # when that may be told next
     spared_total: float | None = None   # what all ingresses have told of it
     short_at: float = -1e9  # when units were last missing
     ours: float = 0.0       # asked here, fading
