A counter that is down or comes back empty: sooner retries, the even share after 1 s, no store taken for full

Until 3 s of silence each ingress went on by slices of up to all of a store, and at the first total after it a store was filled for the whole outage and charged for the own part only. Lines at fault: SILENT_AFTER, the pause in `_counted` and its branch for a total without one to compare with.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -21,7 +21,8 @@
 FIT_MEMORY, FIT_LEAST = 0.98, 2.0  # past's weight a period (about 25 s); points that a line must pass
 RATE_MEMORY, IDLE_RATE = 0.7, 0.05  # past's weight in averages, a period; units a second that count as none
 PUMP, LATE_MARGIN = 0.02, 3.0  # s between looks at what waits; usual latencies between release and aim
-SILENT_AFTER, BACK_OFF_MOST, FORGET_COUNT = 3.0, 8.0, 60.0  # s: silent; longest pause; a count's longest life
+SILENT_AFTER, FORGET_COUNT = 1.0, 60.0  # s: the counter is silent; a count's longest life
+BACK_OFF, BACK_OFF_MOST = 0.25, 8.0  # s of pause after a lost call, half of the first; at most
 SHORT_FOR, READ_LEAST = 6.0, 0.15  # s after units were missing; s between two reads
 READ_PART, LOW_PART = 0.25, 0.1  # of the s in which a store fills, between reads: while short; when low
 OTHERS, DEBT, REPAY = 1.5, 0.1, 0.5  # what others may take over the expected; of the burst; paid at a read
@@ -145,16 +146,18 @@
         if c.held:  # what it may do is told anew: look again at what waits
             self.out += self.timers.wake(TOKEN_PUMP, now + PUMP, now)
         if not ok:
-            c.count_at = now + self.random.uniform(0.5, 1.0) * min(BACK_OFF_MOST, COUNT_PERIOD * 2 ** c.fails)
+            c.count_at = now + self.random.uniform(0.5, 1.0) * min(BACK_OFF_MOST, BACK_OFF * 2 ** c.fails)
             c.fresh += added if reply.status is not api.Status.TIMEOUT else 0.0  # it may have been added
             if now - c.total_at > SILENT_AFTER:  # the even share while the counter is silent
                 c.share, c.ours, c.alls, c.spans = 1.0 / c.width, 0.0, 0.0, 0.0
             return
+        counted = c.total is not None
         plan, (own, everyone, span) = self.settings.plans[c.plan], new_total(c, reply.total, added, now)
         self._fill(c, now)
         if everyone is None:    # the first total, or the counter lost its count
+            # Guards against a store that looks full after an outage: what the others took can't be seen then.
+            everyone = own / max(c.share, 1.0 / c.width) if counted else min(reply.total, own * c.width)
             c.share, c.ours, c.alls, c.spans = 1.0 / c.width, 0.0, 0.0, 0.0
-            everyone = min(reply.total, own * c.width)
         else:
             keep, spared = 0.5 ** (span / ASKED_HALF), c.sparing or 0.0
             c.ours, c.alls = c.ours * keep + own + spared, c.alls * keep + everyone + spared
