Routes, classes and units from an OpenAPI description: reader, table, checks, command

Operators describe a route twice, for agencies and for the ingress. fennelpoint/routes reads OpenAPI 3.0 and 3.1 (YAML, JSON, $ref within the folder), checks it against the settings and compiles a route table; the ingress goes by it where deploy/operator.toml names a description. Off by default: nothing of it is imported. The stand-ins of the tests became fennelpoint/standins, used by the new command larchwing (check, routes, explain, demo) too.

--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -9,19 +9,24 @@
 import os
 import signal
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import uvloop
 
 from fennelpoint import interface as api
+from fennelpoint.faults import FaultyFile
 from fennelpoint.net.backends import Backends
 from fennelpoint.net.counter import Counter
 from fennelpoint.net.discovery import Address, Discovery, Listing, parse_address, parse_list
 from fennelpoint.net.host import Host
 from fennelpoint.net.notice import log
-from fennelpoint.net.server import Server
+from fennelpoint.net.server import Reader, Server
 from fennelpoint.settings import from_json
 
+if TYPE_CHECKING:   # loaded only where there is an operator file
+    from fennelpoint.operator import Operator
+
 SWEEP = 0.25            # s between looks at idle connections
 LIST_WAIT = 1.0         # s for discovery to answer before the list known from before will do
 ACCEPT_ON = 0.5         # s that connections are still taken after SIGTERM: the front learns late
@@ -46,6 +51,9 @@
     sockets: int
     settings: api.Settings
     known: Listing | None
+    operator: Operator | None = None    # what the operator file says; none: there is no such file
+    routes: tuple = ()      # of the description that the operator file names
+    files: dict = field(default_factory=dict)   # that it was read from
 
 
 def read_config(path: str) -> Config:
@@ -83,10 +91,26 @@
         raise ConfigError(f"configuration: seed: {value!r} is not a hexadecimal number") from None
 
 
+def add_operator(config: Config, path: str) -> None:
+    """Read and check the operator file, and what it names, before any traffic."""
+    from fennelpoint.operator import read_operator
+
+    config.operator = read_operator(path)
+    if (routes := config.operator.routes) is not None:
+        from fennelpoint.routes.worker import read_now
+
+        config.routes, faults, config.files = read_now(routes.description, config.settings,
+                                                       routes.load_memory_mb, routes.load_timeout_s)
+        if faults:
+            raise FaultyFile(list(faults))
+
+
 class Ingress:
     """The parts of a running ingress and the order in which they start and stop."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, path: str = "") -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, path: str = "",
+                 operator_path: str = "") -> None:
+        self.operator_path = operator_path
         settings, room = config.settings, config.sockets - RESERVED
         upstream = int(room * UPSTREAM_SHARE)
         self.loop, self.config, self.path, self.stopped = loop, config, path, loop.create_future()
@@ -96,15 +120,29 @@
         self.host = Host(loop, settings, config.seed, self.backends, self.counter)
         self.discovery = Discovery(loop, config.discovery, settings, self.follow)
         self.coming: Discovery | None = None    # a new discovery that has not told its list yet
-        self.server = Server(loop, self.host, room - upstream)
+        self.follower = None    # of a description, where the operator file names one
+        self.server = Server(loop, self.host, room - upstream, self._reader())
         self.stopping_since: float | None = None
 
+    def _reader(self) -> Reader | None:
+        """Reads requests by the description, where there is one; its part is loaded only then."""
+        if self.config.operator is None or (routes := self.config.operator.routes) is None:
+            return None
+        from fennelpoint.net.routed import Follower, RoutedReader
+        from fennelpoint.routes.table import RouteTable
+
+        reader = RoutedReader(self.config.settings, RouteTable(self.config.routes))
+        self.follower = Follower(self.loop, reader, self.config.settings, routes, self.config.files)
+        return reader
+
     async def start(self) -> None:
         if (known := self.config.known) is not None:
             known.roster.kind = api.RosterKind.CACHED
             self.discovery.take(known)
         await self.server.listen(self.config.listen)
         self.discovery.start()
+        if self.follower is not None:
+            self.follower.start()
         self.loop.call_later(LIST_WAIT, self._go_by_known)
         self.loop.call_later(SWEEP, self._sweep)
 
@@ -120,6 +158,7 @@
         """
         if self.stopping_since is not None:
             return
+        self._reload_routes()
         try:
             config = read_config(self.path)
         except ConfigError as error:
@@ -137,6 +176,20 @@
             self.coming.known = self.discovery.known
             self.coming.start()
 
+    def _reload_routes(self) -> None:
+        """Read the description anew; turning it on or off takes a restart."""
+        if self.follower is None:
+            return
+        from fennelpoint.operator import read_operator
+
+        try:
+            routes = read_operator(self.operator_path).routes if self.operator_path else (
+                self.config.operator.routes)
+        except FaultyFile as error:
+            return log.error("%s keeps its operator file: %s", self.config.name, error.faults[0])
+        if routes is not None:
+            self.follower.reload(routes)
+
     def _go_over(self, roster: api.Roster, addresses: dict[str, Address]) -> None:
         """The first list of a new discovery: from now on it is the one to go by."""
         self.discovery.stop()
@@ -190,16 +243,18 @@
         for discovery in (self.discovery, self.coming):
             if discovery is not None:
                 discovery.stop()
+        if self.follower is not None:
+            self.follower.close()
         self.server.close()
         self.backends.close()
         if self.counter is not None:
             self.counter.close()
 
 
-async def serve(config: Config, path: str) -> None:
+async def serve(config: Config, path: str, operator_path: str = "") -> None:
     """Run one ingress until it is told to stop."""
     loop = asyncio.get_running_loop()
-    ingress = Ingress(loop, config, path)
+    ingress = Ingress(loop, config, path, operator_path)
     loop.add_signal_handler(signal.SIGHUP, ingress.reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ingress.stop)
@@ -219,11 +274,14 @@
         if not path:
             raise ConfigError("BALANCER_CONFIG names no configuration")
         config = read_config(path)
-    except ConfigError as error:
-        print(f"fennelpoint: {error}", file=sys.stderr)
+        if operator := os.environ.get("LARCHWING_OPERATOR", ""):
+            add_operator(config, operator)
+    except (ConfigError, FaultyFile) as error:
+        for line in str(error).splitlines():
+            print(f"fennelpoint: {line}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(config, path))
+        uvloop.run(serve(config, path, operator))
     except OSError as error:
         print(f"fennelpoint: listen: {error}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/fennelpoint/cli.py
@@ -0,0 +1,148 @@
+"""The `larchwing` command: thin functions, one a sub-command.  The extra `cli` brings what it needs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+
+import click
+
+from fennelpoint.faults import Fault, FaultyFile
+
+FAULTY = 2      # exit code of a check that found faults
+FILE = click.Path(dir_okay=False)
+CONFIG = click.option("--config", type=FILE, help="An ingress's configuration (JSON), for its settings: "
+                      "without it, classes, plans and the most units are not checked.")
+
+
+def _site(config: str | None) -> object | None:
+    """What the settings of a configuration know; none without one."""
+    if config is None:
+        return None
+    from fennelpoint.routes.description import Site
+    from fennelpoint.settings import from_json
+
+    try:
+        value = json.loads(Path(config).read_text())
+        return Site.of(from_json(value.get("settings") if isinstance(value, dict) else None))
+    except (OSError, ValueError) as error:
+        raise FaultyFile([Fault(config, 0, "", str(error))]) from None
+
+
+def _end_with(faults: list[Fault], as_json: bool) -> None:
+    if as_json:
+        click.echo(json.dumps({"faults": [f.as_dict() for f in faults]}, indent=2))
+    for fault in () if as_json else faults:
+        click.echo(str(fault), err=True)
+    sys.exit(FAULTY if faults else 0)
+
+
+def _table(file: str, config: str | None) -> object:
+    """The route table of a description, or the end of the command."""
+    from fennelpoint.routes import RouteTable
+    from fennelpoint.routes.description import load
+
+    try:
+        loaded = load(file, _site(config))
+    except FaultyFile as error:
+        return _end_with(error.faults, False)
+    if loaded.faults:
+        return _end_with(loaded.faults, False)
+    return RouteTable(loaded.routes)
+
+
+@click.group()
+@click.version_option(package_name="fennelpoint", prog_name="larchwing")
+def main() -> None:
+    """An ingress that holds customers to their quotas before a shared back end."""
+
+
+@main.command()
+@click.argument("files", nargs=-1, required=True, type=FILE)
+@CONFIG
+@click.option("--json", "as_json", is_flag=True, help="The faults as JSON on standard output.")
+def check(files: tuple[str, ...], config: str | None, as_json: bool) -> None:
+    """Check operator files (.toml) and OpenAPI descriptions (.yaml, .yml, .json).
+
+    Exits with 0, or with 2 and the faults on standard error.
+    """
+    from fennelpoint.checks import check_file
+
+    faults: list[Fault] = []
+    try:
+        site = _site(config)
+        for file in files:
+            faults += check_file(file, site)
+    except FaultyFile as error:
+        faults += error.faults
+    if not faults and not as_json:
+        click.echo("no fault in " + ", ".join(files) + ("" if config else
+                   " (no --config: classes, plans and the most units were not checked)"))
+    _end_with(faults, as_json)
+
+
+@main.command()
+@click.argument("file", type=FILE)
+@CONFIG
+@click.option("--json", "as_json", is_flag=True, help="The table as JSON.")
+def routes(file: str, config: str | None, as_json: bool) -> None:
+    """The route table of a description, as the ingress sees it."""
+    from fennelpoint.checks import describe, table_lines
+
+    table = _table(file, config)
+    if as_json:
+        return click.echo(json.dumps([describe(route) for route in table.routes], indent=2))
+    for line in table_lines(table):
+        click.echo(line)
+
+
+@main.command()
+@click.argument("file", type=FILE)
+@click.argument("method")
+@click.argument("url")
+@CONFIG
+def explain(file: str, method: str, url: str, config: str | None) -> None:
+    """Which route a request is, its class, units and effect, and where each is said.
+
+    Exits with 1 where the ingress would not send it on.
+    """
+    from fennelpoint.checks import explain as explanation
+
+    found, lines = explanation(_table(file, config), method, url)
+    for line in lines:
+        click.echo(line)
+    sys.exit(0 if found else 1)
+
+
+@main.command()
+@click.option("--seconds", default=20.0, show_default=True, type=click.FloatRange(1.0, 3600.0))
+def demo(seconds: float) -> None:
+    """Start stand-ins, one ingress and agencies' traffic, and show what becomes of it."""
+    from fennelpoint.demo import play, summary, table
+
+    live = sys.stdout.isatty()
+    drawn = 0
+
+    def show(crowd: list, now: float, news: str) -> None:
+        nonlocal drawn
+        lines = [f"{now:5.1f} s  {news}", *table(crowd, now)]
+        if live:
+            click.echo((f"\x1b[{drawn}F" if drawn else "") + "\n".join(line + "\x1b[K" for line in lines))
+            drawn = len(lines)
+        elif int(now) // 5 != int(now - 0.5) // 5 or now < 0.5:
+            click.echo("\n".join(lines))
+
+    try:
+        crowd = asyncio.run(play(seconds, show))
+    except KeyboardInterrupt:
+        return click.echo("\nended early; all that was started is stopped")
+    except RuntimeError as error:
+        click.echo(str(error), err=True)
+        sys.exit(1)
+    click.echo("\n".join(["", f"summary of {seconds:g} s", *table(crowd, seconds), *summary(crowd, seconds)]))
+
+
+if __name__ == "__main__":
+    main()
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -57,6 +57,7 @@
     is_write: bool
     head: bytes     # request line and end-to-end fields, without the time left
     body: bytes
+    bare: bool = False  # a HEAD: the client wants no body
 
     def render(self, left: float) -> bytes:
         """The bytes for a backend that is waited for this many seconds."""
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -37,9 +37,11 @@
 ID = re.compile(rb"[!-~]{1,128}")
 ACCOUNT = re.compile(rb"account=[0-9a-f]{16}")
 
-REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 409: b"Conflict",
+REASONS = {200: b"OK", 400: b"Bad Request", 403: b"Forbidden", 404: b"Not Found",
+           405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict",
            413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
            503: b"Service Unavailable"}
+ALWAYS_PASSED_ON = frozenset((b"x-txn", b"host"))
 ROUTING = frozenset((b"x-txn", b"x-lane", b"api-plan", b"x-remaining-ms", b"api-terms", b"cookie", b"host",
                      b"content-length", b"transfer-encoding", b"x-resent"))
 NOT_PASSED_ON = HOP_BY_HOP | {b"expect", b"x-remaining-ms"}
@@ -53,6 +55,16 @@
         self.status = status
 
 
+class Reply(Exception):
+    """A sound request that the ingress answers itself, without asking the module; the connection stays."""
+
+    def __init__(self, status: int, headers: tuple[tuple[bytes, bytes], ...] = (), body: bytes = b"",
+                 bare: bool = False) -> None:
+        super().__init__(status)
+        self.status, self.headers, self.body = status, headers, body
+        self.bare = bare    # the request is a HEAD: the body is only counted
+
+
 class Reader:
     """Turns the fields of a request into what the module is asked, by the settings' names."""
 
@@ -62,7 +74,12 @@
         self.plans = {p.name.encode(): i for i, p in enumerate(settings.plans)}
         self.terms = lru_cache(1024)(self._terms)   # few are ever told apart
 
-    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> Asked:
+    def fields(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]],
+               kept: frozenset[bytes] = frozenset()) -> tuple[dict[bytes, bytes], list[bytes]]:
+        """The fields that the routing goes by, and the lines that go on to a backend.
+
+        `kept` are further fields that a client's Connection field can't take out.
+        """
         found: dict[bytes, bytes] = {}
         options: set[bytes] = set()     # fields that are for this connection only, by the client's word
         lines = [method + b" " + url + b" HTTP/1.1"]
@@ -76,12 +93,14 @@
             if name not in NOT_PASSED_ON:
                 lines.append(name + b": " + value)
         if options:
-            options -= {b"x-txn", b"host"}
+            options -= ALWAYS_PASSED_ON | kept
             lines[1:] = [line for line in lines[1:] if line.partition(b":")[0] not in options]
-        self._needed(found, b"host")
-        txn = self._needed(found, b"x-txn")
-        if ID.fullmatch(txn) is None:
-            raise BadRequest("x-txn is not an id")
+        return found, lines
+
+    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> Asked:
+        """A request as the module is asked; raises BadRequest, and Reply where it is answered here."""
+        found, lines = self.fields(method, url, headers)
+        txn = self.host_and_id(found)
         cls = self._known(found, b"x-lane", self.classes)
         safe = self.settings.classes[cls].effect is api.Effect.SAFE
         if method != (b"GET" if safe else b"POST"):
@@ -89,19 +108,29 @@
         if safe and body:
             raise BadRequest("a GET has no body here")
         plan = self._known(found, b"api-plan", self.plans)
-        left = self._needed(found, b"x-remaining-ms")
-        if not left.isdigit() or len(left) > 9 or not 0 < int(left) <= MOST_LEFT_MS:
-            raise BadRequest("x-remaining-ms is not a number of milliseconds")
+        left = self.time_left(found)
         terms = self._needed(found, b"api-terms")
-        if len(terms) > MOST_TERMS:
-            raise BadRequest("api-terms is too long")
         units, width, first = self.terms(terms)
         if not safe:
             lines.append(b"content-length: %d" % len(body))
         customer = self._customer(self._needed(found, b"cookie"))
-        return Asked(txn, cls, plan, customer, int(left) / 1000.0, units, width, first,
+        return Asked(txn, cls, plan, customer, left, units, width, first,
                      found.get(b"x-resent") == b"1", not safe, b"\r\n".join(lines) + b"\r\n", body)
 
+    def host_and_id(self, found: dict[bytes, bytes]) -> bytes:
+        """The request's id, of a request that names its host."""
+        self._needed(found, b"host")
+        if ID.fullmatch(txn := self._needed(found, b"x-txn")) is None:
+            raise BadRequest("x-txn is not an id")
+        return txn
+
+    def time_left(self, found: dict[bytes, bytes]) -> float:
+        """Seconds that the client will wait."""
+        left = self._needed(found, b"x-remaining-ms")
+        if not left.isdigit() or len(left) > 9 or not 0 < int(left) <= MOST_LEFT_MS:
+            raise BadRequest("x-remaining-ms is not a number of milliseconds")
+        return int(left) / 1000.0
+
     def _needed(self, found: dict[bytes, bytes], name: bytes) -> bytes:
         if not (value := found.get(name)):
             raise BadRequest(f"{name.decode()} is missing")
@@ -125,7 +154,10 @@
             pass
         raise BadRequest("the cookie names no account")
 
-    def _terms(self, text: bytes) -> tuple[float, float, float]:
+    def _terms(self, text: bytes, needs_units: bool = True) -> tuple[float | None, float, float]:
+        """Units, where they must or do stand there, and the customer's set."""
+        if len(text) > MOST_TERMS:
+            raise BadRequest("api-terms is too long")
         terms: dict[bytes, float] = {}
         try:
             for part in text.split(b","):
@@ -133,12 +165,13 @@
                 if name in terms or b"_" in value:
                     raise BadRequest("api-terms can't be read")
                 terms[name] = float(value)
-            units, width, first = terms[b"units"], terms[b"spread"], terms[b"first"]
+            units = terms[b"units"] if needs_units else terms.get(b"units")
+            width, first = terms[b"spread"], terms[b"first"]
         except (ValueError, KeyError):
             raise BadRequest("api-terms can't be read") from None
         most = self.settings.most_units or math.inf
         whole = width == width // 1 and first == first // 1
-        if not (0.0 < units <= most and 1 <= width <= self.settings.ingresses
+        if not ((units is None or 0.0 < units <= most) and 1 <= width <= self.settings.ingresses
                 and 0 <= first < self.settings.ingresses and whole):
             raise BadRequest("api-terms is out of range")
         return units, width, first
@@ -149,17 +182,17 @@
 
     __slots__ = ("server", "transport", "parser", "waiting", "open", "deaf", "keep", "since", "head_size",
                  "taken", "fresh", "method_url", "headers", "body", "body_size", "in_head", "in_body", "lost",
-                 "choked", "place", "__weakref__")
+                 "choked", "place", "bare", "__weakref__")
 
     def __init__(self, server: Server) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
-        self.waiting: deque[tuple[Asked | BadRequest | bytes, bool]] = deque()
+        self.waiting: deque[tuple[Asked | BadRequest | Reply | bytes, bool]] = deque()
         self.open: int | None = None    # the id of the request that is being served
         self.deaf = False               # nothing more is read: an error was found, or the end announced
         self.keep = True                # the request at hand lets the connection stay
-        self.lost = False
+        self.lost = self.bare = False   # bare: the request at hand is a HEAD
         self.choked = False             # the client does not read what it was sent
         self.place: dict[ClientConnection, None] | None = None  # the server's line that it stands in
         self.since = time.monotonic()   # when it fell idle, or the request at hand began
@@ -277,6 +310,8 @@
                 asked = self.server.reader.read(method, self.method_url, self.headers, b"".join(self.body))
             except BadRequest as fault:
                 return self._fault(fault)
+            except Reply as reply:
+                asked = reply
             self.waiting.append((asked, keep))
         if self.open is None and len(self.waiting) <= 1:
             return      # the usual client: one at a time
@@ -298,6 +333,10 @@
             what, self.keep = self.waiting.popleft()
             if isinstance(what, BadRequest):
                 self._write(what.status, (), f"{what}\n".encode(), keep=False)
+            elif isinstance(what, Reply):
+                self.bare = what.bare
+                self._write(what.status, what.headers, what.body, self.keep)
+                self.bare = False
             elif isinstance(what, bytes):
                 ready = self.server.ready
                 self._write(200 if ready else 503, (), b"ready\n" if ready else b"not ready\n", self.keep)
@@ -306,6 +345,7 @@
                 self._write(409, (), b"this id is open\n", keep=False)
             else:
                 self._stand(None)
+                self.bare = what.bare
                 self.open = -1      # in case the answer comes before the id is known
                 request = self.server.host.admit(self, what)
                 self.open = request if self.open == -1 else self.open
@@ -335,7 +375,7 @@
         lines.append(b"content-length: %d" % len(body))
         if not keep:
             lines.append(b"connection: close")
-        self.transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+        self.transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if self.bare else body))
         if keep:
             self._stand(self.server.coming if self.in_head or self.in_body else self.server.idle)
         else:
@@ -384,9 +424,10 @@
 class Server:
     """The listening socket and its connections."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, host: Host, most: int) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, host: Host, most: int,
+                 reader: Reader | None = None) -> None:
         self.loop, self.host, self.most = loop, host, most
-        self.reader = Reader(host.settings)
+        self.reader = reader or Reader(host.settings)
         self.connections: set[ClientConnection] = set()
         # Those without a request that is open, in three lines, the oldest first; the others stand in none.
         self.coming: dict[ClientConnection, None] = {}   # new, or a request has begun to come
--- /dev/null
+++ b/fennelpoint/operator.py
@@ -0,0 +1,152 @@
+"""The operator file (`deploy/operator.toml`): one typed schema for all subsystems, checked first.
+
+A section that is absent is off.  Unknown sections and keys are faults, and so is a value of another type or
+out of its bounds; every figure has its unit in its name.  A new subsystem adds a dataclass to `Operator`.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+import tomllib
+from dataclasses import MISSING, dataclass, field, fields
+from difflib import get_close_matches
+from pathlib import Path
+from typing import get_args, get_type_hints
+
+from fennelpoint.faults import Fault, FaultyFile
+
+SCHEMA = 1      # of the file; a file of another one is refused
+MOST_BYTES = 1024 * 1024
+AT_LINE = re.compile(r"\s*\(at line (\d+), column \d+\)$")
+
+
+def figure(default: object, low: float, high: float) -> object:
+    """A number with its bounds, both allowed."""
+    return field(default=default, metadata={"low": low, "high": high})
+
+
+def path_field() -> object:
+    """A path, by the operator file's own folder where it is relative."""
+    return field(metadata={"path": True})
+
+
+@dataclass(frozen=True, slots=True)
+class Routes:
+    """[routes]: an OpenAPI description as the source of routes, classes and units (docs/routes.md)."""
+
+    description: str = path_field()
+    watch_interval_s: float = figure(0.0, 0.0, 3600.0)  # between looks at its files; 0: on SIGHUP only
+    settle_s: float = figure(0.5, 0.0, 60.0)            # a changed file must look the same for so long
+    load_timeout_s: float = figure(30.0, 1.0, 600.0)
+    load_memory_mb: int = figure(1024, 128, 65536)      # address space of the process that reads it
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """The whole file; a part that is None is off."""
+
+    schema: int = SCHEMA
+    routes: Routes | None = None
+
+
+def read_operator(path: str | Path) -> Operator:
+    """The operator file, checked.  Raises FaultyFile with every fault found, each with its line."""
+    path, name = Path(path), str(path)
+    try:
+        with path.open("rb") as file:
+            data = file.read(MOST_BYTES + 1)
+    except OSError as error:
+        raise FaultyFile([Fault(name, 0, "", f"it can't be read: {error.strerror}")]) from None
+    if len(data) > MOST_BYTES:
+        raise FaultyFile([Fault(name, 0, "", f"it is larger than {MOST_BYTES} bytes")])
+    try:
+        text = data.decode()
+    except UnicodeDecodeError as error:
+        line = data.count(b"\n", 0, error.start) + 1
+        raise FaultyFile([Fault(name, line, "", "it is no UTF-8: save it as UTF-8")]) from None
+    try:
+        value = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        match = AT_LINE.search(str(error))
+        line = int(match[1]) if match else text.count("\n") + 1
+        raise FaultyFile([Fault(name, line, "", f"it is not TOML: {AT_LINE.sub('', str(error))}")]) from None
+    reader = _Reader(path, name, _lines(text))
+    operator = reader.read(Operator, value, ())
+    if operator is not None and operator.schema != SCHEMA:
+        reader.fault(("schema",), f"{operator.schema} is not known here: this program reads {SCHEMA}")
+    if reader.faults:
+        raise FaultyFile(sorted(reader.faults))
+    return operator
+
+
+HEADER = re.compile(r"\s*\[\[?\s*([^\[\]]+?)\s*\]\]?\s*(#.*)?$")
+KEY = re.compile(r"\s*([A-Za-z0-9_.\"'-]+(?:\s*\.\s*[A-Za-z0-9_\"'-]+)*)\s*=")
+
+
+def _lines(text: str) -> dict[tuple[str, ...], int]:
+    """The line of each section and key, as far as the lines themselves tell."""
+    out: dict[tuple[str, ...], int] = {}
+    section: tuple[str, ...] = ()
+    for number, line in enumerate(text.splitlines(), 1):
+        if match := HEADER.match(line):
+            section = _parts(match[1])
+            out.setdefault(section, number)
+        elif match := KEY.match(line):
+            parts = section + _parts(match[1])
+            for end in range(len(section) + 1, len(parts) + 1):
+                out.setdefault(parts[:end], number)
+    return out
+
+
+def _parts(dotted: str) -> tuple[str, ...]:
+    return tuple(part.strip().strip("\"'") for part in dotted.split("."))
+
+
+class _Reader:
+    """Turns tables into the dataclasses of the schema and gathers faults."""
+
+    def __init__(self, path: Path, name: str, lines: dict[tuple[str, ...], int]) -> None:
+        self.path, self.name, self.lines, self.faults = path, name, lines, []
+
+    def fault(self, place: tuple[str, ...], text: str) -> None:
+        ends = (place[:end] for end in range(len(place), 0, -1))
+        line = next((self.lines[part] for part in ends if part in self.lines), 0)
+        self.faults.append(Fault(self.name, line, ".".join(place), text))
+
+    def read(self, cls: type, table: object, place: tuple[str, ...]) -> object | None:
+        if not isinstance(table, dict):
+            return self.fault(place, f"it is a section: write [{'.'.join(place)}] and its keys under it")
+        hints, known = get_type_hints(cls), {f.name: f for f in fields(cls)}
+        for key in table:
+            if key not in known:
+                near = get_close_matches(key, known, 1)
+                self.fault((*place, key), "it is not known here: " + (
+                    f"is {near[0]} meant?" if near else f"those known are {', '.join(known)}"))
+        values, before = {}, len(self.faults)
+        for key, item in known.items():
+            inner, hint = (*place, key), hints[key]
+            if key not in table:
+                if item.default is MISSING and item.default_factory is MISSING:
+                    self.fault(inner, "it is missing, and has no default")
+                continue
+            section = next((t for t in get_args(hint) if isinstance(t, type) and t is not type(None)), None)
+            values[key] = self.read(section, table[key], inner) if section is not None else self._value(
+                table[key], hint, item.metadata, inner)
+        return cls(**values) if len(self.faults) == before else None
+
+    def _value(self, value: object, kind: type, bounds: dict, place: tuple[str, ...]) -> object:
+        if kind is float and isinstance(value, int) and not isinstance(value, bool):
+            value = float(value)
+        if type(value) is not kind or (kind is float and not math.isfinite(value)):
+            words = {str: "a text", float: "a number", int: "a whole number", bool: "true or false"}
+            return self.fault(place, f"{value!r} is not {words[kind]}")
+        if "low" in bounds and not bounds["low"] <= value <= bounds["high"]:
+            return self.fault(place, f"{value:g} is not between {bounds['low']:g} and {bounds['high']:g}")
+        if bounds.get("path"):
+            if not value:
+                return self.fault(place, "it names no file")
+            value = str(self.path.parent / value)
+            if not Path(value).is_file():
+                return self.fault(place, f"there is no file {value}")
+        return value
--- /dev/null
+++ b/fennelpoint/routes/__init__.py
@@ -0,0 +1,10 @@
+"""Routes, classes and unit costs from an OpenAPI description; `docs/routes.md` tells how to use them.
+
+What the ingress imports (`table`, `paths`, `changes`) needs the standard library only.  Reading a description
+(`description`, `source`) needs the extra `routes` and is done by a process of its own (`worker`).
+"""
+
+from fennelpoint.faults import Fault, FaultyFile
+from fennelpoint.routes.table import Route, RouteTable, Units
+
+__all__ = ["Fault", "FaultyFile", "Route", "RouteTable", "Units"]
--- /dev/null
+++ b/fennelpoint/standins/process.py
@@ -0,0 +1,87 @@
+"""One ingress as a process of its own, with its configuration in a temporary folder."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from pathlib import Path
+
+STOP_WITHIN = 10.0  # s after SIGTERM before it is killed
+
+
+def free_port() -> int:
+    """A port of loopback that nobody listens on just now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class IngressProcess:
+    """`python -m fennelpoint` with its files; a context manager that leaves nothing behind."""
+
+    def __init__(self, settings: dict, discovery: str, counter: str, description: str | Path | None = None,
+                 sockets: int = 4096, operator: str = "") -> None:
+        self.folder = tempfile.TemporaryDirectory(prefix="larchwing-")
+        self.address = ("127.0.0.1", free_port())
+        root = Path(self.folder.name)
+        config = {"name": "n0", "listen": f"127.0.0.1:{self.address[1]}", "discovery": discovery,
+                  "counter": counter, "seed": "7", "limits": {"sockets": sockets}, "settings": settings}
+        self.config, self.operator, self.log = root / "config.json", root / "operator.toml", root / "log"
+        self.config.write_text(json.dumps(config))
+        self.has_operator = description is not None
+        if description is not None:
+            path = json.dumps(str(Path(description).resolve()))     # a JSON text is a TOML one, too
+            self.operator.write_text(f"schema = 1\n[routes]\ndescription = {path}\n{operator}")
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self, seconds: float = 20.0) -> None:
+        """Start it and wait until it is ready; raises RuntimeError with its log where it never is."""
+        env = {**os.environ, "BALANCER_CONFIG": str(self.config)}
+        env.pop("LARCHWING_OPERATOR", None)
+        if self.has_operator:
+            env["LARCHWING_OPERATOR"] = str(self.operator)
+        with self.log.open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "fennelpoint", stdout=log, stderr=log, env=env, start_new_session=True)
+        for _ in range(int(seconds / 0.05)):
+            if self.process.returncode is not None:
+                break
+            if await self._ready():
+                return
+            await asyncio.sleep(0.05)
+        text = self.log.read_text(errors="replace")
+        await self.stop()
+        raise RuntimeError(f"the ingress did not become ready:\n{text}")
+
+    async def _ready(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(*self.address)
+        except OSError:
+            return False
+        try:
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: app.svc\r\n\r\n")
+            return b" 200 " in await reader.readline()
+        except OSError:
+            return False
+        finally:
+            writer.close()
+
+    def reload(self) -> None:
+        self.process.send_signal(signal.SIGHUP)
+
+    async def stop(self) -> int:
+        """SIGTERM, and wait; its exit code."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.terminate()
+            try:
+                await asyncio.wait_for(self.process.wait(), STOP_WITHIN)
+            except TimeoutError:
+                self.process.kill()
+                await self.process.wait()
+        self.folder.cleanup()
+        return self.process.returncode if self.process is not None else 0
--- /dev/null
+++ b/fennelpoint/standins/world.py
@@ -0,0 +1,93 @@
+"""A whole ingress in this process with its stand-ins round it, and how a test waits for things."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import uvloop
+
+from fennelpoint.__main__ import Config, Ingress
+from fennelpoint.faults import FaultyFile
+from fennelpoint.net.discovery import parse_address, parse_list
+from fennelpoint.operator import Operator
+from fennelpoint.routes.worker import read_now
+from fennelpoint.settings import from_json
+from fennelpoint.standins.servers import Backend, Count, List, member
+
+SETTINGS = {
+    "me": 0, "balancers": 2, "zone": 0, "tick_s": 0.004, "zones": ["room"], "shapes": ["std"],
+    "bounds": {"max_attempts": 4, "retry_after": True, "max_retry_after_s": 0.5, "connect_timeout_s": 0.25,
+               "idle_close_s": 15.0, "cancel": True},
+    "rules": {"drain_grace_s": 0.5, "cold_share": 0.2, "ramp_time_s": 10.0, "tip_multiple": 2.0,
+              "fall_s": 2.0, "answer_slack_s": 0.016},
+    "extra": {"has_counter": True, "count_wait_s": 0.05, "units_top": 3},
+    "grades": [{"name": "look", "aim_s": 0.8, "give_up_s": 2.0, "worth": 1.0, "repeat": "pure"},
+               {"name": "book", "aim_s": 1.5, "give_up_s": 7.5, "worth": 3.0, "repeat": "side_effect"}],
+    "contracts": [{"name": "basic", "pays": 1.0, "quota_rate": 100.0, "store_size": 200.0}],
+}
+
+
+def run(coroutine: Awaitable) -> None:
+    """Run a test's coroutine on the loop that the ingress runs on; nothing here takes half a minute."""
+    async def limited() -> None:
+        await asyncio.wait_for(coroutine, 30.0)
+
+    uvloop.run(limited())
+
+
+async def until(condition: Callable[[], object], seconds: float = 10.0) -> None:
+    """Wait for a condition, not for a time."""
+    for _ in range(int(seconds / 0.005)):
+        if condition():
+            return
+        await asyncio.sleep(0.005)
+    raise AssertionError("it did not come about")
+
+
+class World:
+    """An ingress in this process, with its fakes."""
+
+    def __init__(self, backends: list[Backend], settings: dict, known: bool, operator: Operator | None = None,
+                 seed: int = 7) -> None:
+        self.backends, self.settings, self.known, self.seed = backends, settings, known, seed
+        self.operator = operator
+
+    async def start(self) -> None:
+        members = [member(f"s-{i}", await b.start()) for i, b in enumerate(self.backends)]
+        self.list, self.count = List(members), Count()
+        discovery, counter = await self.list.start(), await self.count.start()
+        settings = from_json({**SETTINGS, **self.settings})
+        known = {"revision": 1, "complete": True, "members": members}
+        config = Config("n0", ("127.0.0.1", 0), parse_address(discovery, "discovery"),
+                        parse_address(counter, "counter"), self.seed, 1024, settings,
+                        parse_list(known, settings) if self.known else None, self.operator)
+        if self.operator is not None and (routes := self.operator.routes) is not None:
+            config.routes, faults, config.files = read_now(
+                routes.description, settings, routes.load_memory_mb, routes.load_timeout_s)
+            if faults:
+                raise FaultyFile(list(faults))
+        self.ingress = Ingress(asyncio.get_running_loop(), config)
+        await self.ingress.start()
+        self.address = self.ingress.server.listener.sockets[0].getsockname()
+        await until(lambda: self.ingress.server.ready)
+
+    def stop(self) -> None:
+        self.ingress.close()
+        for fake in (*self.backends, self.list, self.count):
+            fake.stop()
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection(*self.address)
+
+
+@asynccontextmanager
+async def world(*backends: Backend, known: bool = False, operator: Operator | None = None, **settings):
+    """An ingress that is ready, for as long as the block lasts; `settings` replace the usual ones."""
+    made = World(list(backends), settings, known, operator)
+    await made.start()
+    try:
+        yield made
+    finally:
+        made.stop()
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -3,10 +3,10 @@
 import asyncio
 
 import pytest
-from sockets import Fake, run, until
 
 from fennelpoint.interface import Status
 from fennelpoint.net.counter import Counter, amount_text
+from fennelpoint.standins import Fake, run, until
 
 
 class Play:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,11 +4,23 @@
 import json
 
 import pytest
-from sockets import SETTINGS, Backend, Fake, ask, member, ok, read_message, request, run, until, world
 
 from fennelpoint.interface import BackendState, RosterKind
 from fennelpoint.net.discovery import Discovery, ListError, parse_address, parse_list
 from fennelpoint.settings import from_json
+from fennelpoint.standins import (
+    SETTINGS,
+    Backend,
+    Fake,
+    ask,
+    member,
+    ok,
+    read_message,
+    request,
+    run,
+    until,
+    world,
+)
 
 ADDRESS = "127.0.0.1:80"
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,7 +12,8 @@
 from pathlib import Path
 
 import pytest
-from sockets import SETTINGS, member
+
+from fennelpoint.standins import SETTINGS, member
 
 ROOT = Path(__file__).parent.parent
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from sockets import (
+from fennelpoint.standins import (
     SETTINGS,
     Backend,
     Count,
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -6,7 +6,8 @@
 import weakref
 
 import pytest
-from sockets import Backend, ask, ok, read_message, request, run, until, world
+
+from fennelpoint.standins import Backend, ask, ok, read_message, request, run, until, world
 
 BIG = 64 * 1024 + 1
 
