--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -9,7 +9,7 @@
 import os
 import signal
 import sys
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -26,6 +26,7 @@
 
 if TYPE_CHECKING:   # loaded only where there is an operator file
     from fennelpoint.operator import Operator
+    from fennelpoint.routes.worker import End
 
 SWEEP = 0.25            # s between looks at idle connections
 LIST_WAIT = 1.0         # s for discovery to answer before the list known from before will do
@@ -52,8 +53,7 @@
     settings: api.Settings
     known: Listing | None
     operator: Operator | None = None    # what the operator file says; none: there is no such file
-    routes: tuple = ()      # of the description that the operator file names
-    files: dict = field(default_factory=dict)   # that it was read from
+    read: End | None = None     # the description that the operator file names, as it was read
 
 
 def read_config(path: str) -> Config:
@@ -99,10 +99,10 @@
     if (routes := config.operator.routes) is not None:
         from fennelpoint.routes.worker import read_now
 
-        config.routes, faults, config.files = read_now(routes.description, config.settings,
-                                                       routes.load_memory_mb, routes.load_timeout_s)
-        if faults:
-            raise FaultyFile(list(faults))
+        config.read = read_now(routes.description, config.settings, routes.load_memory_mb,
+                               routes.load_timeout_s)
+        if config.read.faults:
+            raise FaultyFile(list(config.read.faults))
 
 
 class Ingress:
@@ -129,10 +129,10 @@
         if self.config.operator is None or (routes := self.config.operator.routes) is None:
             return None
         from fennelpoint.net.routed import Follower, RoutedReader
-        from fennelpoint.routes.table import RouteTable
 
-        reader = RoutedReader(self.config.settings, RouteTable(self.config.routes))
-        self.follower = Follower(self.loop, reader, self.config.settings, routes, self.config.files)
+        reader = RoutedReader(self.config.settings, self.config.read.table())
+        self.follower = Follower(self.loop, reader, self.config.settings, routes, self.config.read.files)
+        self.config.read = None     # its bytes are of no more use
         return reader
 
     async def start(self) -> None:
--- a/fennelpoint/checks.py
+++ b/fennelpoint/checks.py
@@ -7,7 +7,7 @@
 from fennelpoint.faults import Fault, FaultyFile
 from fennelpoint.operator import read_operator
 from fennelpoint.routes.description import Site, load
-from fennelpoint.routes.paths import PathError, normal_path
+from fennelpoint.routes.paths import PathError
 from fennelpoint.routes.table import Route, RouteTable, Units, ValueFault
 
 DESCRIPTIONS = (".yaml", ".yml", ".json")
@@ -64,11 +64,11 @@
     path, _, query = url.encode().partition(b"?")
     method = method.upper()
     try:
-        normal = normal_path(path)
+        normal, item = table.look_up(path)
     except PathError as error:
         return False, [f"400: {error}"]
     lines = [f"the path is read as {normal.decode()}"] if normal != path else []
-    if (item := table.find(normal)) is None:
+    if item is None:
         return False, [*lines, "404: no path of the description takes it"]
     if (route := item.get(method.encode())) is None:
         if method == "OPTIONS":
--- a/fennelpoint/net/routed.py
+++ b/fennelpoint/net/routed.py
@@ -19,8 +19,8 @@
 from fennelpoint.operator import Routes
 from fennelpoint.routes import worker
 from fennelpoint.routes.changes import Action, Changes, GiveUp, Load, Report, Take
-from fennelpoint.routes.paths import PathError, normal_path
-from fennelpoint.routes.stamps import stamp
+from fennelpoint.routes.paths import PathError
+from fennelpoint.routes.stamps import Stamp, stamp
 from fennelpoint.routes.table import RouteTable, ValueFault
 
 ABSOLUTE = re.compile(rb"https?://([^/?#]*)", re.IGNORECASE)
@@ -48,13 +48,13 @@
             authority, url = match[1], url[match.end():] or b"/"    # RFC 9112, section 3.2.2
         path, mark, query = url.partition(b"?")
         try:
-            path = normal_path(path)
+            path, item = self.table.look_up(path)
         except PathError as error:
             raise BadRequest(str(error)) from None
         if b"#" in query:
             raise BadRequest("the target holds a fragment")
         bare = method == b"HEAD"
-        if (item := self.table.find(path)) is None:
+        if item is None:
             raise Reply(404, body=b"there is no such path\n", bare=bare)
         if (route := item.get(method)) is None:
             if method == b"OPTIONS":
@@ -101,7 +101,7 @@
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, reader: RoutedReader, settings: api.Settings,
-                 routes: Routes, files: dict) -> None:
+                 routes: Routes, files: dict[str, Stamp]) -> None:
         self.loop, self.reader, self.settings, self.routes = loop, reader, settings, routes
         self.changes = Changes(routes.description, files, routes.load_timeout_s, routes.settle_s)
         self.running: dict[int, asyncio.Task] = {}
@@ -135,9 +135,9 @@
             elif isinstance(action, GiveUp):
                 self.running[action.number].cancel()
             elif isinstance(action, Take):
-                self.reader.table = RouteTable(action.routes, action.version)
+                self.reader.table = action.table
                 log.info("the description is taken: version %d, %d routes", action.version,
-                         len(action.routes))
+                         len(action.table.routes))
             elif isinstance(action, Report):
                 log.error("the description is not taken, the one before stays: %d faults", len(action.faults))
                 for fault in action.faults[:MOST_LINES]:
@@ -153,12 +153,17 @@
                 stdin=pipe, stdout=pipe, stderr=pipe, start_new_session=True)
             output, errors = await process.communicate(pickle.dumps(self.settings))
             end = worker.outcome(load.path, process.returncode, output, errors)
+            table = RouteTable()
+            for chunk in end.chunks:    # in parts: those who are waited for have their turns between
+                table.add(pickle.loads(chunk))
+                await asyncio.sleep(0)
         except (OSError, pickle.PickleError, EOFError) as error:
-            end = (), (Fault(load.path, 0, "", f"the process that reads it failed: {error}"),), {}
+            table, end = None, worker.End(
+                [], (Fault(load.path, 0, "", f"the process that reads it failed: {error}"),))
         finally:
             if process is not None and process.returncode is None:
                 process.kill()
-        self._do(self.changes.ended(self.loop.time(), load.number, *end))
+        self._do(self.changes.ended(self.loop.time(), load.number, table, end.faults, end.files))
 
     def close(self) -> None:
         self.closed = True
--- a/fennelpoint/routes/changes.py
+++ b/fennelpoint/routes/changes.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from fennelpoint.faults import Fault
-from fennelpoint.routes.table import Route
+from fennelpoint.routes.table import RouteTable
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,9 +31,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Take:
-    """Go by these routes for every request that is read from now on."""
+    """Go by this table for every request that is read from now on."""
 
-    routes: tuple[Route, ...]
+    table: RouteTable
     version: int
 
 
@@ -80,9 +80,9 @@
         self.pending, self.files = None, stamps     # tried once, whatever comes of it
         return self._load(now)
 
-    def ended(self, now: float, number: int, routes: tuple[Route, ...], faults: tuple[Fault, ...],
+    def ended(self, now: float, number: int, table: RouteTable | None, faults: tuple[Fault, ...],
               files: Stamps) -> list[Action]:
-        """A load has ended: routes, or faults and none of them."""
+        """A load has ended: a table, or faults and no table."""
         if number != self.loading:
             return []
         self.loading = None
@@ -91,7 +91,7 @@
         out: list[Action] = []
         if not faults:
             self.version += 1
-            out.append(Take(routes, self.version))
+            out.append(Take(table, self.version))
         elif not again:     # else it is read anew at once, and that reading counts
             out.append(Report(faults))
         return out + (self._load(now) if again else [])
@@ -102,7 +102,7 @@
             return []
         number = self.loading
         fault = Fault(self.path, 0, "", f"it could not be read within {self.timeout:g} s")
-        return [GiveUp(number), *self.ended(now, number, (), (fault,), {})]
+        return [GiveUp(number), *self.ended(now, number, None, (fault,), {})]
 
     def _load(self, now: float) -> list[Action]:
         if self.loading is not None:
--- a/fennelpoint/routes/description.py
+++ b/fennelpoint/routes/description.py
@@ -7,15 +7,17 @@
 
 from __future__ import annotations
 
+import json
 import re
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+from functools import cache
+from importlib.util import find_spec
 from itertools import product
 from pathlib import Path
 from urllib.parse import urlsplit
 
 import jsonschema_rs
-from openapi_spec_validator.schemas import schema_v30, schema_v31
 
 from fennelpoint.faults import MOST_FAULTS, Fault, FaultyFile
 from fennelpoint.interface import Effect, Settings
@@ -75,6 +77,18 @@
     return Loaded([] if faults else compiler.routes, faults[:MOST_FAULTS], library.stamps)
 
 
+@cache
+def _published(version: str) -> object:
+    """A validator of OpenAPI's own JSON Schema (3.0 or 3.1), as openapi-spec-validator brings it along.
+
+    The package itself is not imported: that takes most of a second, and its validators minutes for 10,000
+    operations where jsonschema-rs takes a tenth of a second.
+    """
+    folder = Path(find_spec("openapi_spec_validator").submodule_search_locations[0])
+    schema = json.loads((folder / f"resources/schemas/v{version}/schema.json").read_text())
+    return jsonschema_rs.validator_for(schema)
+
+
 class _Compiler:
     """One pass over one description."""
 
@@ -82,7 +96,7 @@
         self.library, self.site, self.faults, self.routes = library, site, [], []
         self.reader = Reader(library, jsonschema_rs.Draft202012Validator(SCHEMA))
         self.main = At(library.main, library.main.root)
-        self.schema: dict = {}
+        self.schema: object = None
         self.operations: dict[str, str] = {}
         self.shapes: dict[str, tuple[str, str, At]] = {}    # shape -> path, its text, where
         self.taken: set[tuple[str, str]] = set()            # shape and method
@@ -100,12 +114,17 @@
             return self.fault(self.main, "openapi" if "openapi" in root else None, "openapi",
                               f"{short(repr(version), 40)} is not read here: descriptions are of OpenAPI 3.0 "
                               "or 3.1, the version a text such as \"3.1.0\"")
-        self.schema = dict(schema_v30 if version.startswith("3.0") else schema_v31)
-        sound = self._validate(root, self.main, [])
+        self.schema = _published(version[:3])
+        # What stands beside a path's $ref is looked at where it is followed: the schema allows nothing there,
+        # the specification (3.1.0, section 4.8.9) leaves it open.
+        paths = root.get("paths")
+        whole = root if not isinstance(paths, dict) else {**root, "paths": {
+            text: {"$ref": item["$ref"]} if isinstance(item, dict) and "$ref" in item else item
+            for text, item in paths.items()}}
+        sound = self._validate(whole, self.main, [])
         self.faults += self.library.check()
         above = self.reader.read(self.main, "root", NAME)
         servers = self._bases(self.main, "servers") or [""]
-        paths = root.get("paths")
         if paths is None or paths == {}:
             return self.fault(self.main, "paths" if "paths" in root else None, "paths",
                               "there is no path: nothing could be served")
@@ -121,7 +140,7 @@
     def _validate(self, value: object, at: At, prefix: list) -> bool:
         """Check a value against OpenAPI's own schema; whether it kept to it."""
         sound = True
-        for error in jsonschema_rs.validator_for(self.schema).iter_errors(value):
+        for error in self.schema.iter_errors(value):
             path = list(error.instance_path)
             sound = False
             if path[:len(prefix)] != prefix:
@@ -207,7 +226,7 @@
             if at.document is not self.main.document and sound:
                 self._validate(whole, at, ["paths", text])
             for key in item:
-                if key in METHODS or key in ("parameters", "servers"):
+                if key not in ("$ref", "summary", "description") and not key.startswith("x-"):
                     self.fault(local, key, text, "it stands beside a $ref: put it where the $ref leads")
         said = above | self.reader.read(at, "path", text)
         if at.value is not item:
@@ -296,7 +315,7 @@
             self._tell_apart(full, item, method, place)
             self.taken.add((shape, ""))
         self.taken.add((shape, route.method))
-        self.routes.append(replace(route, template=full))
+        self.routes.append(route._replace(template=full))
 
     def _tell_apart(self, full: Template, item: At, method: str, place: str) -> None:
         """Two part literal segments at one place, as near to concrete as one another, must not overlap."""
--- a/fennelpoint/routes/paths.py
+++ b/fennelpoint/routes/paths.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
 from functools import lru_cache
+from typing import NamedTuple
 
 MOST_SEGMENTS = 64
 UNRESERVED = frozenset(b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
-ODD = re.compile(rb"[^!$&-;=@-Z_a-z~]|//|/\.")  # what must be looked at more closely: % and the forbidden
+PLAIN = bytes(code for code in range(0x21, 0x7F) if code not in b'"#%<>?[\\]^`{|}')   # needs no closer look
 FORBIDDEN = re.compile(rb"[^!$%&-;=@-Z_a-z~]")
 ESCAPED = re.compile(rb"%([0-9A-Fa-f]{2})?")
 DOTS = (b".", b"..")
@@ -39,7 +39,7 @@
 
     Raises PathError for what is no absolute path, holds dot segments, or hides a separator.
     """
-    if ODD.search(path) is None and path[:1] == b"/":
+    if path[:1] == b"/" and b"/." not in path and not path.translate(None, PLAIN):
         return path
     if path[:1] != b"/":
         raise PathError("the path does not begin with a slash")
@@ -58,8 +58,7 @@
     return ESCAPED.sub(_unescape, data).decode()
 
 
-@dataclass(frozen=True, slots=True)
-class Segment:
+class Segment(NamedTuple):
     """One segment of a template: literals with expressions between them; no expression makes it concrete."""
 
     literals: tuple[str, ...]   # one more than there are expressions, each may be empty
@@ -106,8 +105,7 @@
     return [*values, text[at:end]]
 
 
-@dataclass(frozen=True, slots=True)
-class Template:
+class Template(NamedTuple):
     """A path template of OpenAPI 3.1.0, section 4.8.8 (Paths Object), with its server's base path."""
 
     text: str
@@ -126,6 +124,19 @@
         return [name for s in self.segments for name in s.names]
 
 
+@lru_cache(4096)
+def _segment(part: str) -> Segment:
+    pieces = EXPRESSION.split(part)
+    literals, names = pieces[::2], pieces[1::2]
+    if any("{" in x or "}" in x for x in literals) or "" in names:
+        raise PathError(f"the braces of {part!r} don't hold a name")
+    if any(x == "" for x in literals[1:-1]):
+        raise PathError(f"in {part!r} two expressions touch: nothing tells where one ends")
+    if part in (".", ".."):
+        raise PathError("it holds a dot segment, which no request can ask for")
+    return Segment(tuple(normal_literal(x) for x in literals), tuple(names))
+
+
 def parse_template(text: str) -> Template:
     """A template from its text; raises PathError."""
     if not text.startswith("/"):
@@ -137,17 +148,9 @@
         raise PathError(f"it has more than {MOST_SEGMENTS} segments")
     segments = []
     for i, part in enumerate(parts):
-        pieces = EXPRESSION.split(part)
-        literals, names = pieces[::2], pieces[1::2]
-        if any("{" in x or "}" in x for x in literals) or "" in names:
-            raise PathError(f"the braces of {part!r} don't hold a name")
-        if any(x == "" for x in literals[1:-1]):
-            raise PathError(f"in {part!r} two expressions touch: nothing tells where one ends")
         if not part and i < len(parts) - 1:
             raise PathError("it holds an empty segment")
-        if part in (".", ".."):
-            raise PathError("it holds a dot segment, which no request can ask for")
-        segments.append(Segment(tuple(normal_literal(x) for x in literals), tuple(names)))
+        segments.append(_segment(part))
     template = Template(text, tuple(segments))
     if len(set(names := template.names())) != len(names):
         raise PathError("it names one parameter twice")
--- a/fennelpoint/routes/table.py
+++ b/fennelpoint/routes/table.py
@@ -15,10 +15,11 @@
 import re
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 from urllib.parse import parse_qsl, unquote_to_bytes
 
 from fennelpoint.interface import Effect
-from fennelpoint.routes.paths import Template, match_segment
+from fennelpoint.routes.paths import Template, match_segment, normal_path
 
 FIGURE = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,6})?")
 
@@ -27,16 +28,14 @@
     """A request's parameter can't be read or is out of its bounds; the text names it."""
 
 
-@dataclass(frozen=True, slots=True)
-class Parameter:
+class Parameter(NamedTuple):
     """Where a value stands in a request: `within` is path, query or header (OpenAPI's `in`)."""
 
     within: str
     name: str
 
 
-@dataclass(frozen=True, slots=True)
-class Units:
+class Units(NamedTuple):
     """Units that a request takes from its quota: `amount`, or by a parameter within bounds."""
 
     amount: float
@@ -45,8 +44,7 @@
     maximum: float = math.inf
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(NamedTuple):
     """One operation under one base path; `cls` and `plans` are indexes in the settings (-1: unknown)."""
 
     method: str             # in capitals
@@ -129,21 +127,27 @@
 
 
 class RouteTable:
-    """All routes of a description.  It is never changed: a new description makes a new table."""
+    """All routes of a description.  Once it is gone by it is never changed: a new one takes its place."""
 
-    def __init__(self, routes: Iterable[Route], version: int = 1) -> None:
-        self.routes, self.version = tuple(routes), version
+    def __init__(self, routes: Iterable[Route] = ()) -> None:
+        self.routes: list[Route] = []
         self.exact: dict[bytes, PathItem] = {}
         self.root = _Node()
         self.lengths: set[int] = set()
-        self.keys: frozenset[bytes] = frozenset(    # header fields that must reach the backend
-            r.key.name.lower().encode() for r in self.routes if r.key and r.key.within == "header")
-        items: dict[str, PathItem] = {}
-        for route in self.routes:
+        self.keys: frozenset[bytes] = frozenset()   # header fields that must reach the backend
+        self.items: dict[str, PathItem] = {}
+        self.add(routes)
+
+    def add(self, routes: Iterable[Route]) -> None:
+        """Some more routes, while the table is made and not yet gone by: a large one is made in parts."""
+        for route in routes:
             shape = route.template.shape
-            if (item := items.get(shape)) is None:
-                item = items[shape] = self._place(route.template, shape)
+            if (item := self.items.get(shape)) is None:
+                item = self.items[shape] = self._place(route.template, shape)
             item.add(route)
+            self.routes.append(route)
+            if route.key is not None and route.key.within == "header":
+                self.keys |= {route.key.name.lower().encode()}
 
     def _place(self, template: Template, shape: str) -> PathItem:
         item = PathItem(shape)
@@ -169,6 +173,13 @@
         node.item = item
         return item
 
+    def look_up(self, path: bytes) -> tuple[bytes, PathItem | None]:
+        """A request's path in its normal form, and what it belongs to; raises PathError."""
+        if (item := self.exact.get(path)) is not None:
+            return path, item       # concrete paths stand there in their normal form, so this is one
+        path = normal_path(path)
+        return path, self.find(path)
+
     def find(self, path: bytes) -> PathItem | None:
         """The path item that a path in normal form belongs to."""
         if (item := self.exact.get(path)) is not None:
@@ -176,7 +187,17 @@
         segments = path.split(b"/")
         if (count := len(segments) - 1) not in self.lengths:
             return None
-        return _walk(self.root, segments, 1, count)
+        node = self.root
+        for segment in segments[1:]:
+            following, whole = node.concrete.get(segment), node.whole
+            if node.partial or (following is not None and whole is not None):
+                return _walk(self.root, segments, 1, count)     # a choice, which may have to be undone
+            if following is None:
+                if whole is None or not segment:
+                    return None
+                following = whole
+            node = following
+        return node.item
 
 
 def _walk(node: _Node, segments: list[bytes], at: int, last: int) -> PathItem | None:
--- a/fennelpoint/standins/world.py
+++ b/fennelpoint/standins/world.py
@@ -29,10 +29,10 @@
 }
 
 
-def run(coroutine: Awaitable) -> None:
-    """Run a test's coroutine on the loop that the ingress runs on; nothing here takes half a minute."""
+def run(coroutine: Awaitable, seconds: float = 30.0) -> None:
+    """Run a test's coroutine on the loop that the ingress runs on, for so long at most."""
     async def limited() -> None:
-        await asyncio.wait_for(coroutine, 30.0)
+        await asyncio.wait_for(coroutine, seconds)
 
     uvloop.run(limited())
 
@@ -50,13 +50,13 @@
     """An ingress in this process, with its fakes."""
 
     def __init__(self, backends: list[Backend], settings: dict, known: bool, operator: Operator | None = None,
-                 seed: int = 7) -> None:
+                 seed: int = 7, count: Count | None = None) -> None:
         self.backends, self.settings, self.known, self.seed = backends, settings, known, seed
-        self.operator = operator
+        self.operator, self.count = operator, count or Count()
 
     async def start(self) -> None:
         members = [member(f"s-{i}", await b.start()) for i, b in enumerate(self.backends)]
-        self.list, self.count = List(members), Count()
+        self.list = List(members)
         discovery, counter = await self.list.start(), await self.count.start()
         settings = from_json({**SETTINGS, **self.settings})
         known = {"revision": 1, "complete": True, "members": members}
@@ -64,10 +64,9 @@
                         parse_address(counter, "counter"), self.seed, 1024, settings,
                         parse_list(known, settings) if self.known else None, self.operator)
         if self.operator is not None and (routes := self.operator.routes) is not None:
-            config.routes, faults, config.files = read_now(
-                routes.description, settings, routes.load_memory_mb, routes.load_timeout_s)
-            if faults:
-                raise FaultyFile(list(faults))
+            config.read = read_now(routes.description, settings, routes.load_memory_mb, routes.load_timeout_s)
+            if config.read.faults:
+                raise FaultyFile(list(config.read.faults))
         self.ingress = Ingress(asyncio.get_running_loop(), config)
         await self.ingress.start()
         self.address = self.ingress.server.listener.sockets[0].getsockname()
@@ -83,9 +82,10 @@
 
 
 @asynccontextmanager
-async def world(*backends: Backend, known: bool = False, operator: Operator | None = None, **settings):
+async def world(*backends: Backend, known: bool = False, operator: Operator | None = None,
+                count: Count | None = None, **settings):
     """An ingress that is ready, for as long as the block lasts; `settings` replace the usual ones."""
-    made = World(list(backends), settings, known, operator)
+    made = World(list(backends), settings, known, operator, count=count)
     await made.start()
     try:
         yield made
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,10 +5,15 @@
 from dataclasses import dataclass, field
 
 import pytest
+from hypothesis import settings as hypothesis_profile
 
 from fennelpoint import Controller
 from fennelpoint import interface as api
 
+# The same verdict every time: examples are drawn from the test's own text, and none are kept.
+hypothesis_profile.register_profile("same", derandomize=True, deadline=None, database=None)
+hypothesis_profile.load_profile("same")
+
 READY, DRAINING, GONE = api.BackendState.READY, api.BackendState.DRAINING, api.BackendState.GONE
 SAFE, UNSAFE, KEYED = 0, 1, 2
 HARD, SOFT, CAPPED, SLOTS = 0, 1, 2, 3
