--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -361,9 +361,11 @@
 
     def _cold_share(self, b: Backend, now: float) -> float:
         """The least part of its capacity that a backend can do by now; 1 when it is warm."""
-        age = max(0.0, now - b.entry.started_at) if b.entry.started_at > 0.0 else inf
-        grown = min(1.0, age / max(self.settings.ramp_time, self.settings.tick))
-        return self.settings.cold_share + (1.0 - self.settings.cold_share) * grown
+        settings, started = self.settings, b.entry.started_at
+        span = max(settings.ramp_time, settings.tick)
+        if started <= 0.0 or now - started >= span:     # the usual one, told first: asked for each candidate
+            return 1.0
+        return settings.cold_share + (1.0 - settings.cold_share) * max(0.0, now - started) / span
 
     def _choose(self, t: Try, now: float) -> Backend | None:
         """The backend with the least expected wait, among some at random, that may take this try."""
--- a/fennelpoint/routes/paths.py
+++ b/fennelpoint/routes/paths.py
@@ -13,7 +13,7 @@
 
 MOST_SEGMENTS = 64
 UNRESERVED = frozenset(b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
-PLAIN = bytes(code for code in range(0x21, 0x7F) if code not in b'"#%<>?[\\]^`{|}')   # needs no closer look
+PLAIN = bytes(code for code in range(0x21, 0x7F) if code not in b'".#%<>?[\\]^`{|}')  # needs no closer look
 FORBIDDEN = re.compile(rb"[^!$%&-;=@-Z_a-z~]")
 ESCAPED = re.compile(rb"%([0-9A-Fa-f]{2})?")
 DOTS = (b".", b"..")
@@ -39,8 +39,10 @@
 
     Raises PathError for what is no absolute path, holds dot segments, or hides a separator.
     """
-    if path[:1] == b"/" and b"/." not in path and not path.translate(None, PLAIN):
-        return path
+    if path[:1] == b"/":
+        odd = path.translate(None, PLAIN)
+        if not odd or (not odd.strip(b".") and b"/." not in path):
+            return path
     if path[:1] != b"/":
         raise PathError("the path does not begin with a slash")
     if FORBIDDEN.search(path):
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -10,13 +10,13 @@
 from fennelpoint import Controller
 from fennelpoint import interface as api
 
-README = Path(__file__).parent.parent / "README.md"
+README = Path(__file__).parent.parent / "docs/module.md"
 
 
-def test_example_of_the_readme_runs_as_printed(capsys):
+def test_example_of_the_page_runs_as_printed(capsys):
     text = README.read_text()
     (example,) = re.findall(r"```python\n(.*?)```", text, re.DOTALL)
-    exec(compile(ast.parse(example), "README.md", "exec"), {})
+    exec(compile(ast.parse(example), "module.md", "exec"), {})
     printed = capsys.readouterr().out.splitlines()
     (said,) = re.findall(r"second line printed is `(.*)`", text)
     assert printed[1] == said
