A control service over xDS: ADS in both forms, drains, cold weights, no stale roster

Other proxies shall go by our routes and our roster. fennelpoint/xds has a pure core (labels that carry discovery's revision, membership with dead ids, streams), Envoy's protobufs made of our classes and effects, a thin grpc.aio server and larchwing control. The cold share moved out of the Controller into choice.py, used by both. gRPC Python's own xDS client is routed, drained, kept off a killed node, given a cold node's share, retried on a look-up and never on a booking, in the tests. Quotas, client status, load reports and mTLS are not begun.

--- a/fennelpoint/cli.py
+++ b/fennelpoint/cli.py
@@ -116,6 +116,19 @@
     sys.exit(0 if found else 1)
 
 
+@main.command()
+@click.option("--config", "operator_file", default="deploy/operator.toml", show_default=True, type=FILE,
+              help="The operator file; its sections control and routes are used.")
+def control(operator_file: str) -> None:
+    """Serve routes, endpoints and limits to other proxies over xDS, until SIGTERM."""
+    from fennelpoint.xds.service import Unusable, run
+
+    try:
+        asyncio.run(run(operator_file, click.echo))
+    except Unusable as error:
+        _end_with(error.faults, False)
+
+
 @main.command()
 @click.option("--seconds", default=20.0, show_default=True, type=click.FloatRange(1.0, 3600.0))
 def demo(seconds: float) -> None:
--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -11,6 +11,7 @@
 from random import Random
 
 from fennelpoint import interface as api
+from fennelpoint.choice import cold_odds, cold_share
 from fennelpoint.state import Backend, Customer, Cut, Try
 from fennelpoint.upkeep import Fleet, Line, Sums, Timers, fill, forget, new_total, same_group
 
@@ -38,7 +39,7 @@
 NEAR_TIE, CANDIDATES = 1.15, 16  # how much better another zone must be; an own part of a large fleet
 HERD, SEES = 0.2, 4.0   # least random part of a wait; ingresses up to which own work out tells most of it
 PROBES, PROBE_WAIT = 2, 0.05  # backends probed for a try by those who see little, and s that it waits
-REPORT_HALF, COLD_CAUTION = 1.0, 1.5  # s for a report to count half; power of a cold share that wins a draw
+REPORT_HALF = 1.0   # s for a report to count half
 RETRY_SHARE, RETRY_BURST, PAUSE_FULL = 0.1, 10.0, 0.03  # further attempts a first one, saved up; s if full
 FORGET, SWEEP = 15.0, 2  # s after which an idle customer is forgotten, and how many are looked at a try
 TOKEN_PERIOD, TOKEN_PUMP = 1, 2
@@ -359,14 +360,6 @@
         self.fleet.follow(roster, self.random, now)
         self.window = self.window or max(1.0, FIRST_OUT * len(self.fleet.ready) / self.settings.ingresses)
 
-    def _cold_share(self, b: Backend, now: float) -> float:
-        """The least part of its capacity that a backend can do by now; 1 when it is warm."""
-        settings, started = self.settings, b.entry.started_at
-        span = max(settings.ramp_time, settings.tick)
-        if started <= 0.0 or now - started >= span:     # the usual one, told first: asked for each candidate
-            return 1.0
-        return settings.cold_share + (1.0 - settings.cold_share) * max(0.0, now - started) / span
-
     def _choose(self, t: Try, now: float) -> Backend | None:
         """The backend with the least expected wait, among some at random, that may take this try."""
         cls, able = self.settings.classes[t.ask.cls], []
@@ -378,12 +371,13 @@
         lots = sorted((self.random.expovariate(max(b.entry.weight, 1e-3)), i) for i, b in enumerate(able))
         # Guards against pushing over cold backends, as a sum over all ingresses: a cold one is sent a try
         # only by a draw by weight, won as seldom as it is cold, and once in half an aim for each try.
-        if lots and now >= t.draw_at and (share := self._cold_share(able[lots[0][1]], now)) < 1.0:
+        first = able[lots[0][1]].entry if lots and now >= t.draw_at else None
+        if first is not None and (share := cold_share(first, self.settings, now)) < 1.0:
             t.draw_at = now + cls.aim / 2
-            if self.random.random() < share ** COLD_CAUTION:
+            if self.random.random() < cold_odds(share):
                 return able[lots[0][1]]
         costs = sorted((self._cost(able[i], lot, t, now), i) for lot, i in lots
-                       if self._cold_share(able[i], now) >= 1.0)
+                       if cold_share(able[i].entry, self.settings, now) >= 1.0)
         if not self.probes or t.picked is not None or not costs:
             return able[costs[0][1]] if costs else None
         t.picked, t.not_before = [able[i] for _, i in costs[:PROBES]], now + PROBE_WAIT
@@ -435,7 +429,7 @@
         elif o.status is api.Status.OK and t is not None and 0.0 <= o.latency < inf:
             cls, aim, slow, b.fails = t.ask.cls, self.settings.classes[t.ask.cls].aim, self._slow(b, now), 0
             gap = o.latency - self.typical[cls]
-            if self._cold_share(b, now) >= 1.0:
+            if cold_share(b.entry, self.settings, now) >= 1.0:
                 self.typical[cls] += gap * (SLOWER if gap > 0 else FASTER)
             self.usual[cls] += LEARN * (min(o.latency, aim / 2 / LATE_MARGIN) - self.usual[cls])
             b.slow, b.slow_at = slow + LEARN * (o.latency / self.typical[cls] - slow), now
--- a/fennelpoint/net/discovery.py
+++ b/fennelpoint/net/discovery.py
@@ -115,6 +115,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, settings: api.Settings,
                  follow: Callable[[api.Roster, dict[str, Address]], None]) -> None:
         self.loop, self.address, self.settings, self.follow = loop, address, settings, follow
+        self.heard: Callable[[int], None] = lambda revision: None   # told of each answer, with news or none
         self.known: dict[str, Address] = {}
         self.revision: int | None = None    # of the last list from discovery itself
         self.backoff = BACKOFF
@@ -223,6 +224,7 @@
             return self._failed("told changes where the whole list was asked for")
         news = listing.roster.kind is api.RosterKind.FULL or listing.roster.entries
         self.revision, self.backoff = listing.roster.version, BACKOFF
+        self.heard(self.revision)
         if not self.keep:
             transport, self.transport = self.transport, None
             transport.abort()
--- a/fennelpoint/operator.py
+++ b/fennelpoint/operator.py
@@ -12,7 +12,7 @@
 from dataclasses import MISSING, dataclass, field, fields
 from difflib import get_close_matches
 from pathlib import Path
-from typing import get_args, get_type_hints
+from typing import get_args, get_origin, get_type_hints
 
 from fennelpoint.faults import Fault, FaultyFile
 
@@ -42,12 +42,29 @@
     load_memory_mb: int = figure(1024, 128, 65536)      # address space of the process that reads it
 
 
+@dataclass(frozen=True, slots=True)
+class Control:
+    """[control]: a control service for other proxies over xDS (docs/control-service.md)."""
+
+    settings: str = path_field()    # an ingress's configuration: its settings and its discovery are used
+    listen: str = "127.0.0.1:18000"
+    unknown_nodes: str = field(default="refuse", metadata={"among": ("refuse", "default")})
+    nodes: list[str] = field(default_factory=list)      # ids that are known; * stands for anything
+    listeners: list[str] = field(default_factory=lambda: ["larchwing"])     # names that gRPC clients dial
+    envoy_listen: str = ""          # HOST:PORT that Envoy is told to listen on; none: it has its own
+    max_view_age_s: float = figure(10.0, 1.0, 3600.0)   # of a roster that a newcomer is given
+    discovery_lag_s: float = figure(6.0, 0.0, 600.0)    # within which discovery's agents agree
+    max_streams: int = figure(2000, 1, 100_000)
+    max_message_bytes: int = figure(1 << 20, 1 << 12, 1 << 26)
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """The whole file; a part that is None is off."""
 
     schema: int = SCHEMA
     routes: Routes | None = None
+    control: Control | None = None
 
 
 def read_operator(path: str | Path) -> Operator:
@@ -130,12 +147,17 @@
                 if item.default is MISSING and item.default_factory is MISSING:
                     self.fault(inner, "it is missing, and has no default")
                 continue
-            section = next((t for t in get_args(hint) if isinstance(t, type) and t is not type(None)), None)
+            section = None if get_origin(hint) is list else next(
+                (t for t in get_args(hint) if isinstance(t, type) and t is not type(None)), None)
             values[key] = self.read(section, table[key], inner) if section is not None else self._value(
                 table[key], hint, item.metadata, inner)
         return cls(**values) if len(self.faults) == before else None
 
     def _value(self, value: object, kind: type, bounds: dict, place: tuple[str, ...]) -> object:
+        if get_origin(kind) is list:
+            if isinstance(value, list) and all(isinstance(item, str) for item in value):
+                return value
+            return self.fault(place, f"{value!r} is not a list of texts")
         if kind is float and isinstance(value, int) and not isinstance(value, bool):
             value = float(value)
         if type(value) is not kind or (kind is float and not math.isfinite(value)):
@@ -143,6 +165,8 @@
             return self.fault(place, f"{value!r} is not {words[kind]}")
         if "low" in bounds and not bounds["low"] <= value <= bounds["high"]:
             return self.fault(place, f"{value:g} is not between {bounds['low']:g} and {bounds['high']:g}")
+        if "among" in bounds and value not in bounds["among"]:
+            return self.fault(place, f"{value!r} is none of {', '.join(bounds['among'])}")
         if bounds.get("path"):
             if not value:
                 return self.fault(place, "it names no file")
--- a/fennelpoint/routes/table.py
+++ b/fennelpoint/routes/table.py
@@ -173,6 +173,16 @@
         node.item = item
         return item
 
+    def ordered(self) -> list[Route]:
+        """The routes in an order in which the first that matches a request is its route."""
+        def rank(route: Route) -> tuple:
+            segments = route.template.segments
+            return (not route.template.concrete, [
+                (0, 0, "") if s.concrete else (2, 0, "") if s.whole else (1, -s.weight, "{}".join(s.literals))
+                for s in segments], route.template.shape, route.method)
+
+        return sorted(self.routes, key=rank)
+
     def look_up(self, path: bytes) -> tuple[bytes, PathItem | None]:
         """A request's path in its normal form, and what it belongs to; raises PathError."""
         if (item := self.exact.get(path)) is not None:
--- a/fennelpoint/standins/servers.py
+++ b/fennelpoint/standins/servers.py
@@ -81,6 +81,8 @@
                     await asyncio.wait_for(self.changed.wait(), 0.2)
                 except TimeoutError:
                     pass
+            if writer.is_closing():
+                return
             members = self.changes if watch else self.members
             writer.write(ok(json.dumps({"revision": self.revision, "complete": not watch,
                                         "members": members}).encode()))
--- /dev/null
+++ b/fennelpoint/xds/resources.py
@@ -0,0 +1,189 @@
+"""Envoy's resources from our routes, classes and roster; pure, but it needs the published protobufs.
+
+What a proxy may repeat is decided by the class's effect alone: a safe class gets a retry policy, a keyed one
+only where every backend drops repeats for as long as a request may last, an unsafe one gets none, in words.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable, Mapping
+
+from envoy.config.cluster.v3 import circuit_breaker_pb2, cluster_pb2, outlier_detection_pb2
+from envoy.config.core.v3 import config_source_pb2
+from envoy.config.endpoint.v3 import endpoint_pb2
+from envoy.config.listener.v3 import listener_pb2
+from envoy.config.route.v3 import route_components_pb2, route_pb2
+from envoy.extensions.filters.http.router.v3 import router_pb2
+from envoy.extensions.filters.network.http_connection_manager.v3 import http_connection_manager_pb2
+from google.protobuf import any_pb2, duration_pb2
+
+from fennelpoint import interface as api
+from fennelpoint.choice import cold_odds, cold_share
+from fennelpoint.routes.table import Route, RouteTable
+from fennelpoint.xds.membership import Address
+from fennelpoint.xds.streams import CDS, EDS, LDS, RDS
+
+ROUTES, ENDPOINTS = "larchwing", "backends"     # names of the one route configuration and endpoint list
+WEIGHT, COLD_STEPS = 1000, 20   # of a warm backend of size 1; steps in which a cold one's weight grows
+RETRY_BUDGET, LEAST_RETRIES = 10.0, 3   # % of what is out that may be retries; that many always
+SAFE_ON = {"envoy": "connect-failure,refused-stream,reset,5xx", "grpc": "unavailable,internal"}
+KIND = "larchwing"              # of route metadata: what the class says, in words
+
+Bodies = dict[str, dict[str, bytes]]
+
+
+def seconds(value: float) -> duration_pb2.Duration:
+    return duration_pb2.Duration(seconds=int(value), nanos=round((value - int(value)) * 1e9))
+
+
+def packed(message: object) -> bytes:
+    """A message as the Any that a response carries it in, written always alike."""
+    wrapped = any_pb2.Any(type_url=f"type.googleapis.com/{message.DESCRIPTOR.full_name}",
+                          value=message.SerializeToString(deterministic=True))
+    return wrapped.SerializeToString(deterministic=True)
+
+
+def repeats(cls: api.RequestClass) -> bool:
+    """Whether a proxy may send a request of this class again after it may have run."""
+    return cls.effect is api.Effect.SAFE or (
+        cls.effect is api.Effect.KEYED and cls.group is api.Group.ALL and cls.window >= cls.deadline > 0.0)
+
+
+def cluster(cls: api.RequestClass, settings: api.Settings) -> cluster_pb2.Cluster:
+    """A class's cluster: its own limits over the one list of endpoints."""
+    made = cluster_pb2.Cluster(
+        name=f"class.{cls.name}", type=cluster_pb2.Cluster.EDS, lb_policy=cluster_pb2.Cluster.ROUND_ROBIN,
+        connect_timeout=seconds(settings.connect_timeout or 0.25), ignore_health_on_host_removal=True)
+    made.eds_cluster_config.service_name = ENDPOINTS
+    made.eds_cluster_config.eds_config.resource_api_version = config_source_pb2.V3
+    made.eds_cluster_config.eds_config.ads.SetInParent()
+    made.common_lb_config.locality_weighted_lb_config.SetInParent()
+    if settings.ramp_time > 0.0:
+        slow = made.round_robin_lb_config.slow_start_config
+        slow.slow_start_window.CopyFrom(seconds(settings.ramp_time))
+        slow.min_weight_percent.value = 100.0 * settings.cold_share
+    threshold = circuit_breaker_pb2.CircuitBreakers.Thresholds()
+    threshold.retry_budget.budget_percent.value = RETRY_BUDGET
+    threshold.retry_budget.min_retry_concurrency.value = LEAST_RETRIES
+    threshold.max_requests.value = 1024
+    made.circuit_breakers.thresholds.append(threshold)
+    made.outlier_detection.CopyFrom(outlier_detection_pb2.OutlierDetection(
+        interval=seconds(1.0), base_ejection_time=seconds(2.0)))
+    made.outlier_detection.max_ejection_percent.value = 30
+    made.outlier_detection.consecutive_5xx.value = 5
+    return made
+
+
+def endpoints(ready: Iterable[tuple[api.BackendEntry, Address]], settings: api.Settings,
+              now: float) -> endpoint_pb2.ClusterLoadAssignment:
+    """The backends that may be sent to.
+
+    Warm ones stand in the locality of their zone.  A cold one has a locality of its own, whose weight follows
+    its cold share: proxies that know no weights of endpoints (gRPC) keep those of localities.
+    """
+    made = endpoint_pb2.ClusterLoadAssignment(cluster_name=ENDPOINTS)
+    zones: dict[str, endpoint_pb2.LocalityLbEndpoints] = {}
+    for entry, (host, port) in ready:
+        share = cold_share(entry, settings, now)
+        zone = settings.zones[entry.zone] if entry.zone < len(settings.zones) else f"zone-{entry.zone}"
+        own = max(1, round(WEIGHT * max(entry.weight, 1e-3)))
+        if share >= 1.0:
+            locality = zones.get(zone)
+            if locality is None:
+                locality = zones[zone] = made.endpoints.add()
+                locality.locality.zone = zone
+            locality.load_balancing_weight.value += own
+        else:
+            step = max(1, int(share * COLD_STEPS)) / COLD_STEPS     # downwards: never more than its share
+            locality = made.endpoints.add()
+            locality.locality.zone, locality.locality.sub_zone = zone, f"cold-{entry.backend}"
+            locality.load_balancing_weight.value = max(1, int(own * cold_odds(step)))
+        endpoint = locality.lb_endpoints.add()
+        endpoint.endpoint.address.socket_address.address = host
+        endpoint.endpoint.address.socket_address.port_value = port
+        endpoint.load_balancing_weight.value = own
+    return made
+
+
+def template_regex(route: Route) -> str:
+    """A template as RE2: an expression takes a byte or more of one segment, as our own table has it."""
+    return "/" + "/".join("[^/]+".join(map(re.escape, s.literals)) for s in route.template.segments)
+
+
+def route_entry(route: Route, settings: api.Settings, view: str) -> route_components_pb2.Route:
+    """One route; `view` is envoy or grpc."""
+    cls = settings.classes[route.cls]
+    made = route_components_pb2.Route(name=f"{route.method} {route.template.text}")
+    if route.template.concrete:
+        made.match.path = route.template.shape
+    else:
+        made.match.safe_regex.regex = template_regex(route)
+    if view != "grpc":      # every gRPC call is a POST, and its clients see no method to match
+        header = made.match.headers.add(name=":method")
+        header.string_match.exact = route.method
+    made.route.cluster = f"class.{cls.name}"
+    made.route.timeout.CopyFrom(seconds(cls.deadline))
+    may, policy = repeats(cls), made.route.retry_policy
+    if view != "grpc" or not may:
+        # gRPC (1.85.3) at times ends a call that it retries at once as past its deadline where both are set:
+        # seen in 4 of 38 plays, in none of 24 without.  Its callers' own deadlines bound those calls.
+        made.route.max_stream_duration.max_stream_duration.CopyFrom(seconds(cls.deadline))
+    if may:
+        policy.retry_on = SAFE_ON[view]
+        policy.num_retries.value = max(1, settings.max_attempts - 1)
+        policy.retry_back_off.base_interval.CopyFrom(seconds(0.025))
+        policy.retry_back_off.max_interval.CopyFrom(seconds(0.25))
+    elif view != "grpc":    # gRPC refuses a policy of no retries; none at all says the same to it
+        policy.retry_on, policy.num_retries.value = "", 0
+    else:
+        made.route.ClearField("retry_policy")
+    words = made.metadata.filter_metadata[KIND]
+    words.update({"class": cls.name, "effect": cls.effect.value, "retries": "by policy" if may else "none"})
+    return made
+
+
+def route_configuration(table: RouteTable, settings: api.Settings, view: str) -> route_pb2.RouteConfiguration:
+    """All routes in the order of their precedence."""
+    made = route_pb2.RouteConfiguration(name=ROUTES)
+    host = made.virtual_hosts.add(name=ROUTES, domains=["*"])
+    for route in table.ordered():
+        if view != "grpc" or route.method == "POST":
+            host.routes.append(route_entry(route, settings, view))
+    return made
+
+
+def listener(name: str, address: Address | None = None) -> listener_pb2.Listener:
+    """A listener whose routes come by ADS.
+
+    With an address it is one that Envoy opens; without, the API listener that a gRPC client asks for by the
+    name it dials (gRFC A27).
+    """
+    manager = http_connection_manager_pb2.HttpConnectionManager(stat_prefix=ROUTES)
+    manager.rds.route_config_name = ROUTES
+    manager.rds.config_source.resource_api_version = config_source_pb2.V3
+    manager.rds.config_source.ads.SetInParent()
+    filter_ = manager.http_filters.add(name="envoy.filters.http.router")
+    filter_.typed_config.Pack(router_pb2.Router())
+    made = listener_pb2.Listener(name=name)
+    if address is None:
+        made.api_listener.api_listener.Pack(manager)
+    else:
+        made.address.socket_address.address, made.address.socket_address.port_value = address
+        chained = made.filter_chains.add().filters.add(name="envoy.filters.network.http_connection_manager")
+        chained.typed_config.Pack(manager)
+    return made
+
+
+def bodies(view: str, names: Iterable[str], envoy_listen: Address | None, table: RouteTable,
+           settings: api.Settings, ready: Iterable[tuple[api.BackendEntry, Address]], now: float) -> Bodies:
+    """Every resource of a view, packed, by type and name.  `names` are the listeners' for gRPC."""
+    listeners = [listener(name) for name in names] if view == "grpc" else (
+        [listener(ROUTES, envoy_listen)] if envoy_listen is not None else [])
+    used = sorted({route.cls for route in table.routes})
+    made: Mapping[str, Mapping[str, object]] = {
+        CDS: {f"class.{settings.classes[i].name}": cluster(settings.classes[i], settings) for i in used},
+        EDS: {ENDPOINTS: endpoints(ready, settings, now)},
+        LDS: {made.name: made for made in listeners},
+        RDS: {ROUTES: route_configuration(table, settings, view)}}
+    return {kind: {name: packed(message) for name, message in named.items()} for kind, named in made.items()}
--- /dev/null
+++ b/fennelpoint/xds/server.py
@@ -0,0 +1,252 @@
+"""Aggregated Discovery over grpc.aio: carries requests to the streams' state and their responses out.
+
+Each stream has one task that writes and one that reads.  A change of the roster makes the new snapshots and
+wakes the writers; one that is stuck in a write keeps its stream and nothing else.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from fnmatch import fnmatchcase
+
+import grpc
+from envoy.service.discovery.v3 import discovery_pb2
+
+from fennelpoint import interface as api
+from fennelpoint.net.discovery import Address, Discovery
+from fennelpoint.net.notice import complain, log
+from fennelpoint.operator import Control
+from fennelpoint.routes.table import RouteTable
+from fennelpoint.xds.membership import Membership
+from fennelpoint.xds.resources import bodies
+from fennelpoint.xds.streams import Misuse, Response, Snapshot, Stream
+
+SERVICE = "envoy.service.discovery.v3.AggregatedDiscoveryService"
+VIEWS = ("envoy", "grpc")
+TICK = 0.5              # s between looks at what warms up
+REQUEST_RATE, REQUEST_BURST = 200.0, 2000.0     # requests a second of one stream, and saved up
+GRACE = 1.0             # s for streams to end at a stop
+
+
+def _varint(number: int) -> bytes:
+    out = bytearray()
+    while number > 0x7F:
+        out.append(number & 0x7F | 0x80)
+        number >>= 7
+    out.append(number)
+    return bytes(out)
+
+
+def _field(number: int, data: bytes) -> bytes:
+    """One length-delimited field of a protobuf message."""
+    return _varint(number << 3 | 2) + _varint(len(data)) + data
+
+
+def encode(response: Response, incremental: bool, cache: dict[tuple, bytes]) -> bytes:
+    """A DiscoveryResponse or DeltaDiscoveryResponse; all but the nonce is written once for all streams.
+
+    Protobuf's encoding of a message is its fields one after another, in any order (protobuf.dev, "Encoding"),
+    so a written message and one more field are a message.
+    """
+    key = (response.kind, incremental, response.version, tuple((r.name, r.label) for r in response.resources),
+           response.removed)
+    if (whole := cache.get(key)) is None:
+        if incremental:
+            resources = [_field(2, _field(3, r.name.encode()) + _field(1, str(r.label).encode())
+                                + _field(2, r.body)) for r in response.resources]
+            resources += [_field(6, name.encode()) for name in response.removed]
+        else:
+            resources = [_field(2, r.body) for r in response.resources]
+        whole = _field(1, response.version.encode()) + b"".join(resources) + _field(4, response.kind.encode())
+        if len(cache) > 256:
+            cache.clear()
+        cache[key] = whole
+    return whole + _field(5, response.nonce.encode())
+
+
+class Peer:
+    """One stream with its proxy's name and view."""
+
+    def __init__(self, incremental: bool) -> None:
+        self.stream, self.incremental = Stream(incremental), incremental
+        self.node, self.view = "", ""
+        self.wake = asyncio.Event()
+        self.tokens, self.filled = REQUEST_BURST, time.monotonic()
+
+    def spend(self) -> None:
+        """One request; raises Misuse where there are too many."""
+        now = time.monotonic()
+        self.tokens = min(REQUEST_BURST, self.tokens + (now - self.filled) * REQUEST_RATE) - 1.0
+        self.filled = now
+        if self.tokens < 0.0:
+            raise Misuse("too many requests")
+
+
+class ControlServer:
+    """The snapshots of all views, the streams that follow them, and discovery behind them."""
+
+    def __init__(self, control: Control, settings: api.Settings, table: RouteTable, discovery: Address,
+                 clock: Callable[[], float] = time.time) -> None:
+        self.control, self.settings, self.clock = control, settings, clock
+        self._table = table
+        self.members = Membership(control.discovery_lag_s)
+        self.snapshots = {view: Snapshot() for view in VIEWS}
+        self.peers: set[Peer] = set()
+        self.cache: dict[tuple, bytes] = {}
+        self.discovery_address = discovery
+        self.server: grpc.aio.Server | None = None
+        self.port = 0
+        host, _, port = control.envoy_listen.rpartition(":")
+        self.envoy_listen = (host, int(port)) if port else None
+
+    @property
+    def table(self) -> RouteTable:
+        return self._table
+
+    @table.setter
+    def table(self, table: RouteTable) -> None:
+        """A new description is taken."""
+        self._table = table
+        self.publish()
+
+    @property
+    def fresh(self) -> bool:
+        """Whether the roster is young enough to be given to a newcomer."""
+        return self.members.told_once and self.members.age(self.clock()) <= self.control.max_view_age_s
+
+    # Start and stop
+
+    async def start(self) -> int:
+        """Listen and begin to follow discovery; the port."""
+        loop = asyncio.get_running_loop()
+        self.discovery = Discovery(loop, self.discovery_address, self.settings, self._told)
+        self.discovery.heard = self._heard
+        self.discovery.start()
+        self.ticker = asyncio.create_task(self._tick())
+        size = self.control.max_message_bytes
+        self.server = grpc.aio.server(options=[("grpc.max_receive_message_length", size),
+                                               ("grpc.max_metadata_size", 16 * 1024),
+                                               ("grpc.so_reuseport", 0)])
+        handlers = {
+            "StreamAggregatedResources": grpc.stream_stream_rpc_method_handler(
+                self._world, discovery_pb2.DiscoveryRequest.FromString, bytes),
+            "DeltaAggregatedResources": grpc.stream_stream_rpc_method_handler(
+                self._delta, discovery_pb2.DeltaDiscoveryRequest.FromString, bytes)}
+        self.server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(SERVICE, handlers),))
+        self.port = self.server.add_insecure_port(self.control.listen)
+        await self.server.start()
+        return self.port
+
+    async def stop(self) -> None:
+        self.discovery.stop()
+        self.ticker.cancel()
+        await self.server.stop(GRACE)
+
+    # What changes
+
+    def _heard(self, revision: int) -> None:
+        before = self.members.stand
+        self.members.answered(revision, self.clock())
+        if self.members.stand != before:
+            self.publish()
+
+    def _told(self, roster: api.Roster, addresses: dict[str, Address]) -> None:
+        self.members.told(roster, addresses)
+        self.publish()
+
+    async def _tick(self) -> None:
+        """Cold backends warm up, and rosters grow old: looked at now and then."""
+        stale = False
+        while True:
+            await asyncio.sleep(TICK)
+            now, span = self.clock(), max(self.settings.ramp_time, self.settings.tick)
+            if any(0.0 < now - e.started_at < span + 2 * TICK for e, _ in self.members.ready()):
+                self.publish()
+            if stale != (self.members.told_once and not self.fresh):
+                stale = not stale
+                log.warning("the roster is %s", f"over {self.control.max_view_age_s:g} s old: newcomers wait"
+                            if stale else "fresh again")
+                self._wake()
+
+    def publish(self) -> None:
+        """Make every view's next snapshot and wake who follows it."""
+        if not self.members.told_once:
+            return
+        ready, now = self.members.ready(), self.clock()
+        for view in VIEWS:
+            made = bodies(view, self.control.listeners, self.envoy_listen, self._table, self.settings, ready,
+                          now)
+            self.snapshots[view] = self.snapshots[view].follow(self.members.stand, made)
+        self._wake()
+
+    def _wake(self) -> None:
+        for peer in self.peers:
+            peer.wake.set()
+
+    # Streams
+
+    async def _world(self, requests, context) -> None:
+        await self._serve(requests, context, False)
+
+    async def _delta(self, requests, context) -> None:
+        await self._serve(requests, context, True)
+
+    async def _serve(self, requests, context, incremental: bool) -> None:
+        if len(self.peers) >= self.control.max_streams:
+            await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many streams")
+        peer = Peer(incremental)
+        self.peers.add(peer)
+        reader = asyncio.create_task(self._read(peer, requests))
+        try:
+            while not reader.done():
+                peer.wake.clear()
+                response = peer.stream.pull(self.snapshots[peer.view], self.fresh) if peer.view else None
+                if response is not None:
+                    await context.write(encode(response, incremental, self.cache))
+                    continue
+                waiting = asyncio.create_task(peer.wake.wait())
+                try:
+                    await asyncio.wait((reader, waiting), return_when=asyncio.FIRST_COMPLETED)
+                finally:
+                    waiting.cancel()
+            try:
+                reader.result()
+            except Misuse as error:
+                complain("xds", "the stream of %.100r ends: %s", peer.node, error)
+                await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+            except PermissionError as error:
+                await context.abort(grpc.StatusCode.PERMISSION_DENIED, str(error))
+        finally:
+            reader.cancel()
+            self.peers.discard(peer)
+
+    async def _read(self, peer: Peer, requests) -> None:
+        async for request in requests:
+            peer.spend()
+            if not peer.view:
+                self._admit(peer, request.node)
+            error = request.error_detail.message or "no words" if request.HasField("error_detail") else None
+            sub = peer.stream.kinds.get(request.type_url)
+            if error is not None and sub is not None and sub.waiting and request.response_nonce == sub.nonce:
+                # Once a response: who says it of others is not heard.
+                log.warning("%.100r refuses %s: %.500s", peer.node, request.type_url, error)
+            if peer.incremental:
+                peer.stream.delta(
+                    request.type_url, request.response_nonce, request.resource_names_subscribe,
+                    request.resource_names_unsubscribe, request.initial_resource_versions, error)
+            else:
+                peer.stream.request(request.type_url, request.version_info, request.response_nonce,
+                                    request.resource_names, error)
+            if peer.stream.floor is not None:
+                self.members.heard(peer.stream.floor, self.clock())
+            peer.wake.set()
+
+    def _admit(self, peer: Peer, node) -> None:
+        """Which view a proxy gets, by what it says of itself; raises PermissionError where it gets none."""
+        known = any(fnmatchcase(node.id, pattern) for pattern in self.control.nodes)
+        if not known and self.control.unknown_nodes == "refuse":
+            raise PermissionError(f"the node {node.id[:100]!r} is not known here")
+        peer.node = node.id
+        peer.view = "grpc" if node.user_agent_name.lower().startswith("grpc") else "envoy"
--- /dev/null
+++ b/fennelpoint/xds/streams.py
@@ -0,0 +1,265 @@
+"""The state of each discovery stream, without gRPC: requests in, the one response that is due out.
+
+Follows the xDS protocol (envoyproxy.io, "xDS REST and gRPC protocol"): Aggregated Discovery, state of the
+world and incremental.  Nothing is queued for a stream: `pull` makes the next response from the newest
+snapshot when the stream can take one, so one that does not read delays nobody and skips what it missed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from fennelpoint.xds.labels import Label, Stand, digest, read_label
+
+_BASE = "type.googleapis.com/envoy.config."
+CDS, EDS = _BASE + "cluster.v3.Cluster", _BASE + "endpoint.v3.ClusterLoadAssignment"
+LDS, RDS = _BASE + "listener.v3.Listener", _BASE + "route.v3.RouteConfiguration"
+ORDER = (CDS, EDS, LDS, RDS)    # make before break: what routes point to comes before the routes
+WILD = frozenset((CDS, LDS))    # types in which an empty first subscription is to all
+MOST_NAMES = 10_000             # subscriptions of one stream and type
+MOST_ERROR = 2_000              # characters of a NACK that are kept
+
+
+class Misuse(Exception):
+    """The peer breaks the protocol or its bounds: its stream ends, nothing else."""
+
+
+@dataclass(frozen=True, slots=True)
+class Resource:
+    name: str
+    label: Label
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All resources of one view at one stand: whole, never changed."""
+
+    stand: Stand = Stand()
+    types: Mapping[str, Mapping[str, Resource]] = field(default_factory=dict)
+
+    def follow(self, stand: Stand, bodies: Mapping[str, Mapping[str, bytes]]) -> Snapshot:
+        """The next snapshot: what has not changed keeps its label."""
+        types = {}
+        for kind, named in bodies.items():
+            before, now = self.types.get(kind, {}), {}
+            for name, body in named.items():
+                old = before.get(name)
+                now[name] = old if old is not None and old.body == body else Resource(
+                    name, Label(stand, digest(body)), body)
+            types[kind] = now
+        return Snapshot(stand, types)
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """What is to be sent; `removed` is for incremental streams only."""
+
+    kind: str
+    version: str
+    nonce: str
+    resources: tuple[Resource, ...]
+    removed: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class Subscription:
+    """One type on one stream."""
+
+    wildcard: bool = False
+    names: set[str] = field(default_factory=set)
+    sent: dict[str, str] = field(default_factory=dict)      # name -> version, as last sent
+    acked: dict[str, str] = field(default_factory=dict)     # as last accepted
+    asked: set[str] = field(default_factory=set)            # incremental: must be answered, be it by absence
+    nonce: str = ""
+    pending: dict[str, str | None] = field(default_factory=dict)    # what that has; none: removed
+    last: dict[str, Resource] = field(default_factory=dict)     # state of the world: as last sent
+    waiting: bool = False       # a response is out and neither accepted nor refused
+    answered: bool = False      # some response was sent
+    refused: dict[str, str] | None = None   # what the proxy would not take
+    error: str = ""             # and its words
+
+    def wants(self, name: str) -> bool:
+        return self.wildcard or name in self.names
+
+
+class Stream:
+    """One aggregated stream of one proxy."""
+
+    def __init__(self, incremental: bool) -> None:
+        self.incremental = incremental
+        self.kinds: dict[str, Subscription] = {}
+        self.floor: Stand | None = None     # the newest roster that the proxy says it holds, or was sent
+        self.count = 0
+
+    # Requests
+
+    def request(self, kind: str, version: str, nonce: str, names: Iterable[str], error: str | None) -> None:
+        """A state-of-the-world request (DiscoveryRequest); raises Misuse."""
+        names = set(names)
+        s, first = self._subscription(kind, len(names))
+        if not nonce:
+            self._holds([version])
+        elif nonce != s.nonce:
+            return      # of an answer that a newer one has overtaken
+        else:
+            self._judge(s, error)
+        if first or nonce or names:
+            wildcard = "*" in names or (kind in WILD and not names and (first or s.wildcard))
+            new = names - {"*"}
+            if not new <= s.names and new:
+                s.asked |= new - s.names
+            s.wildcard, s.names = wildcard, new
+
+    def delta(self, kind: str, nonce: str, subscribe: Iterable[str], unsubscribe: Iterable[str],
+              initial: Mapping[str, str], error: str | None) -> None:
+        """An incremental request (DeltaDiscoveryRequest); raises Misuse."""
+        subscribe, unsubscribe = set(subscribe), set(unsubscribe)
+        s, first = self._subscription(kind, len(subscribe) + len(initial))
+        if nonce and nonce == s.nonce:
+            self._judge(s, error)
+        if first:
+            self._holds(initial.values())
+            s.sent.update(initial)
+            s.acked.update(initial)
+            s.wildcard = kind in WILD and not subscribe
+        if "*" in subscribe:
+            s.wildcard = True
+        s.names |= subscribe - {"*"}
+        s.asked |= subscribe - {"*"}
+        if not first:   # whoever subscribes again is owed it again
+            for name in subscribe:
+                s.sent.pop(name, None)
+        if len(s.names) > MOST_NAMES:
+            raise Misuse(f"more than {MOST_NAMES} subscriptions to one type")
+        if "*" in unsubscribe:
+            s.wildcard = False
+        s.names -= unsubscribe
+        s.asked -= unsubscribe
+        for name in [n for n in s.sent if not s.wants(n)]:
+            del s.sent[name]
+            s.acked.pop(name, None)
+
+    def _subscription(self, kind: str, count: int) -> tuple[Subscription, bool]:
+        if kind not in ORDER:
+            raise Misuse(f"the type {kind[:100]!r} is not served here")
+        if count > MOST_NAMES:
+            raise Misuse(f"more than {MOST_NAMES} names in one request")
+        first = kind not in self.kinds
+        return self.kinds.setdefault(kind, Subscription()), first
+
+    def _holds(self, versions: Iterable[str]) -> None:
+        """What a proxy brings from an earlier stream, here or elsewhere."""
+        for text in versions:
+            label = read_label(text)
+            if label is not None and (self.floor is None or label.stand > self.floor):
+                self.floor = label.stand
+
+    def _judge(self, s: Subscription, error: str | None) -> None:
+        """An ACK or a NACK of the response that is out."""
+        if not s.waiting:
+            return      # a mere change of subscription
+        s.waiting = False
+        if error is not None:
+            s.refused, s.error = dict(s.sent), error[:MOST_ERROR]
+            return
+        s.refused, s.error = None, ""
+        if not self.incremental:
+            s.acked = {}
+        for name, version in s.pending.items():
+            if version is None:
+                s.acked.pop(name, None)
+            elif s.wants(name):
+                s.acked[name] = version
+
+    # Responses
+
+    def pull(self, snapshot: Snapshot, fresh: bool = True) -> Response | None:
+        """The response that is due now, if any; it counts as sent.
+
+        Nothing is sent of a roster older than one that the proxy has had, nor of one that is not `fresh` to a
+        proxy that has none.
+        """
+        if self.floor is None and not fresh or self.floor is not None and snapshot.stand < self.floor:
+            return None
+        for kind in ORDER:
+            s = self.kinds.get(kind)
+            if s is None or s.waiting or self._must_wait(kind, snapshot):
+                continue
+            response = self._delta(kind, s, snapshot) if self.incremental else self._world(kind, s, snapshot)
+            if response is not None:
+                s.nonce, s.waiting, s.answered = response.nonce, True, True
+                s.pending = {r.name: str(r.label) for r in response.resources}
+                s.pending |= dict.fromkeys(response.removed)
+                self.floor = max(self.floor or snapshot.stand, snapshot.stand)
+                return response
+        return None
+
+    def _must_wait(self, kind: str, snapshot: Snapshot) -> bool:
+        """Routes wait until the clusters that they may point to are accepted; endpoints wait for nobody."""
+        if kind not in (LDS, RDS) or (clusters := self.kinds.get(CDS)) is None:
+            return False
+        if clusters.waiting:
+            return True
+        if clusters.refused is not None:
+            return self.kinds[kind].answered    # it goes on with the routes that it has
+        wanted = {n: str(r.label) for n, r in snapshot.types.get(CDS, {}).items() if clusters.wants(n)}
+        return not wanted.items() <= clusters.acked.items()
+
+    def _kept(self, kind: str, s: Subscription, snapshot: Snapshot) -> set[str]:
+        """Clusters that are gone, but which the routes that the proxy has may still point to."""
+        routes = self.kinds.get(RDS)
+        if kind != CDS or routes is None:
+            return set()
+        there = snapshot.types.get(RDS, {})
+        current = all(routes.acked.get(n) == str(r.label) for n, r in there.items() if routes.wants(n))
+        return set() if current else {n for n in s.sent if n not in snapshot.types.get(CDS, {})}
+
+    def _next(self) -> str:
+        self.count += 1
+        return str(self.count)
+
+    def _world(self, kind: str, s: Subscription, snapshot: Snapshot) -> Response | None:
+        there = snapshot.types.get(kind, {})
+        wanted = {n: r for n, r in there.items() if s.wants(n)}
+        wanted |= {n: s.last[n] for n in self._kept(kind, s, snapshot) if n in s.last and s.wants(n)}
+        versions = {n: str(r.label) for n, r in wanted.items()}
+        asked, s.asked = s.asked, set()
+        news = versions != s.sent or bool(asked & versions.keys())
+        if not (news or (s.wildcard and not s.answered)) or versions == s.refused:
+            return None
+        if not versions and not s.wildcard:
+            return None     # nothing of what is subscribed to is there; its absence is not told this way
+        s.sent, s.last = versions, wanted
+        newest = max((r.label for r in wanted.values()), default=Label(snapshot.stand, "0" * 12))
+        whole = digest("".join(f"{n}={v};" for n, v in sorted(versions.items())).encode())
+        return Response(kind, str(Label(newest.stand, whole)), self._next(),
+                        tuple(wanted[n] for n in sorted(wanted)))
+
+    def _delta(self, kind: str, s: Subscription, snapshot: Snapshot) -> Response | None:
+        there, kept = snapshot.types.get(kind, {}), self._kept(kind, s, snapshot)
+        changed = [r for n, r in sorted(there.items()) if s.wants(n) and (
+            s.sent.get(n) != str(r.label) or (n in s.asked and n not in s.sent))]
+        removed = sorted({n for n in s.sent if n not in there and n not in kept}
+                         | {n for n in s.asked if n not in there})
+        s.asked = set()
+        if not changed and not removed and (s.answered or not s.wildcard):
+            return None
+        for r in changed:
+            s.sent[r.name] = str(r.label)
+        for name in removed:
+            s.sent.pop(name, None)
+        version = str(Label(snapshot.stand, "0" * 12))     # for people: proxies go by each resource's own
+        return Response(kind, version, self._next(), tuple(changed), tuple(removed))
+
+    def behind(self, snapshot: Snapshot) -> dict[str, list[str]]:
+        """By type, the names whose newest version the proxy has not accepted."""
+        out = {}
+        for kind, s in self.kinds.items():
+            there = snapshot.types.get(kind, {})
+            late = sorted(n for n, r in there.items() if s.wants(n) and s.acked.get(n) != str(r.label))
+            late += sorted(n for n in s.acked if n not in there)
+            if late:
+                out[kind] = late
+        return out
--- /dev/null
+++ b/tests/xds/test_server.py
@@ -0,0 +1,283 @@
+"""The control service over gRPC: proxies of our own, drains, kills, partitions, restarts, two services."""
+
+from __future__ import annotations
+
+import time
+
+import grpc
+import pytest
+from proxies import Proxy, control, run, settings
+
+from fennelpoint.demo import EXAMPLE
+from fennelpoint.demo import SETTINGS as EXAMPLE_SETTINGS
+from fennelpoint.settings import from_json
+from fennelpoint.standins import List, member, until
+from fennelpoint.xds.streams import CDS, EDS, LDS, RDS
+
+LIMIT = 0.5     # s from discovery's word until no proxy sends there any more
+
+
+def members(count: int, **values) -> list[dict]:
+    return [member(f"s-{i}", f"127.0.0.1:{9001 + i}", **values) for i in range(count)]
+
+
+def play(coroutine, count: int = 3, **changes) -> None:
+    async def inner() -> None:
+        discovery = List(members(count))
+        await discovery.start()
+        async with control(discovery, EXAMPLE, from_json(EXAMPLE_SETTINGS), **changes) as server:
+            await coroutine(discovery, server)
+        discovery.stop()
+
+    run(inner())
+
+
+def test_proxy_gets_clusters_endpoints_and_routes_that_say_what_may_be_repeated():
+    async def test(discovery, server) -> None:
+        proxy = Proxy(server.port)
+        proxy.connect()
+        await until(lambda: {CDS, EDS, RDS} <= proxy.view.keys())
+        assert proxy.ports() == [9001, 9002, 9003]
+        assert sorted(proxy.view[CDS]) == ["class.book", "class.hold", "class.look"]
+        routes = {r.name: r for r in proxy.view[RDS]["larchwing"].virtual_hosts[0].routes}
+        look, book = routes["GET /v1/slots/{slot}"], routes["POST /v1/appointments"]
+        assert look.match.safe_regex.regex == "/v1/slots/[^/]+" and book.match.path == "/v1/appointments"
+        assert look.route.retry_policy.num_retries.value == 3 and "reset" in look.route.retry_policy.retry_on
+        assert book.route.HasField("retry_policy") and book.route.retry_policy.num_retries.value == 0
+        assert book.route.retry_policy.retry_on == ""
+        assert book.metadata.filter_metadata["larchwing"]["retries"] == "none"
+        assert book.route.timeout.seconds == 3 and book.match.headers[0].string_match.exact == "POST"
+        slow = proxy.view[CDS]["class.look"].round_robin_lb_config.slow_start_config
+        assert slow.min_weight_percent.value == pytest.approx(20.0) and slow.slow_start_window.seconds == 3
+        await proxy.drop()
+
+    play(test)
+
+
+def test_gone_and_draining_nodes_leave_every_view_within_the_limit_however_others_are():
+    async def test(discovery, server) -> None:
+        proxies = [Proxy(server.port, f"p-{i}") for i in range(20)]
+        others = [Proxy(server.port, f"stuck-{i}", reads=False) for i in range(3)]
+        others += [Proxy(server.port, f"nack-{i}", refuse=EDS) for i in range(3)]
+        for proxy in proxies + others:
+            proxy.connect()
+        await until(lambda: all(p.ports() == [9001, 9002, 9003] for p in proxies))
+        for phase, node, left in (("draining", 0, [9002, 9003]), ("removed", 1, [9003])):
+            begun = time.monotonic()
+            discovery.tell(member(f"s-{node}", f"127.0.0.1:{9001 + node}", phase=phase))
+            await until(lambda left=left: all(p.ports() == left for p in proxies))
+            assert time.monotonic() - begun < LIMIT
+        for proxy in proxies + others:
+            await proxy.drop()
+
+    play(test)
+
+
+def test_nack_is_not_resent_in_a_loop_and_the_next_change_is_sent(caplog):
+    async def test(discovery, server) -> None:
+        proxy, good = Proxy(server.port, "bad", refuse=EDS), Proxy(server.port, "good")
+        proxy.connect()
+        good.connect()
+        await until(lambda: any(r.type_url == EDS for r in proxy.responses) and RDS in good.view)
+        await until(lambda: "not this one" in caplog.text)
+        discovery.tell(member("s-0", "", phase="removed"))
+        await until(lambda: good.ports() == [9002, 9003])
+        await until(lambda: sum(r.type_url == EDS for r in proxy.responses) == 2)
+        peer = next(p for p in server.peers if p.node == "bad")
+        await until(lambda: peer.stream.kinds[EDS].error)
+        assert peer.stream.kinds[EDS].acked == {} and EDS in peer.stream.behind(server.snapshots["envoy"])
+        for p in (proxy, good):
+            await p.drop()
+        assert sum(r.type_url == EDS for r in proxy.responses) == 2
+
+    play(test)
+
+
+def test_proxy_that_comes_back_after_a_partition_gets_no_dead_node_also_from_a_service_that_lags():
+    async def inner() -> None:
+        ahead, behind = List(members(3)), List(members(3))
+        for discovery in (ahead, behind):
+            await discovery.start()
+        made = from_json(EXAMPLE_SETTINGS)
+        async with control(ahead, EXAMPLE, made) as one, control(behind, EXAMPLE, made) as two:
+            proxy = Proxy(one.port)
+            proxy.connect()
+            await until(lambda: proxy.ports() == [9001, 9002, 9003])
+            ahead.tell(member("s-0", "", phase="removed"))
+            await until(lambda: proxy.ports() == [9002, 9003])
+            await proxy.drop()
+            seen = len(proxy.responses)
+            proxy.connect(two.port)     # its roster still has s-0 alive
+            await until(lambda: any(p.stream.floor is not None for p in two.peers))
+            newcomer = Proxy(two.port, "newcomer")
+            newcomer.connect()
+            await until(lambda: newcomer.ports() == [9001, 9002, 9003])
+            assert proxy.ports() == [9002, 9003] and not any(_ports(r) for r in proxy.responses[seen:])
+            behind.tell(member("s-0", "", phase="removed"))     # now it has caught up
+            await until(lambda: newcomer.ports() == [9002, 9003])
+            behind.tell(member("s-1", "", phase="removed"))
+            await until(lambda: proxy.ports() == [9003])
+            assert not any(9001 in _ports(r) for r in proxy.responses[seen:])
+            for p in (proxy, newcomer):
+                await p.drop()
+        for discovery in (ahead, behind):
+            discovery.stop()
+
+    run(inner())
+
+
+def _ports(response) -> list[int]:
+    from envoy.config.endpoint.v3 import endpoint_pb2
+
+    out = []
+    for packed in response.resources if response.type_url == EDS else ():
+        message = endpoint_pb2.ClusterLoadAssignment()
+        packed.Unpack(message)
+        out += [e.endpoint.address.socket_address.port_value for loc in message.endpoints
+                for e in loc.lb_endpoints]
+    return out
+
+
+def test_service_that_is_restarted_with_an_empty_memory_goes_on_and_its_proxies_keep_their_view_meanwhile():
+    async def inner() -> None:
+        discovery, made = List(members(3)), from_json(EXAMPLE_SETTINGS)
+        await discovery.start()
+        proxy = Proxy(0)
+        async with control(discovery, EXAMPLE, made) as first:
+            proxy.connect(first.port)
+            await until(lambda: proxy.ports() == [9001, 9002, 9003])
+            discovery.tell(member("s-2", "", phase="removed"))
+            await until(lambda: proxy.ports() == [9001, 9002])
+        await until(lambda: proxy.code is not None or proxy.task.done())
+        await proxy.drop()
+        assert proxy.ports() == [9001, 9002]
+        async with control(discovery, EXAMPLE, made) as second:
+            seen = len(proxy.responses)
+            proxy.connect(second.port)
+            await until(lambda: len(proxy.responses) > seen)
+            begun = time.monotonic()
+            discovery.tell(member("s-1", "127.0.0.1:9002", phase="draining"))
+            await until(lambda: proxy.ports() == [9001])
+            assert time.monotonic() - begun < LIMIT
+            assert not any(9003 in _ports(r) for r in proxy.responses[seen:])
+            await proxy.drop()
+        discovery.stop()
+
+    run(inner())
+
+
+def test_service_cut_off_from_discovery_keeps_its_proxies_and_gives_newcomers_nothing_old(caplog):
+    async def test(discovery, server) -> None:
+        proxy, newcomer = Proxy(server.port), Proxy(server.port, "newcomer")
+        proxy.connect()
+        await until(lambda: proxy.ports() == [9001, 9002, 9003])
+        discovery.stop()
+        await until(lambda: not server.fresh)
+        await until(lambda: "newcomers wait" in caplog.text)
+        newcomer.connect()
+        await until(lambda: any(p.node == "newcomer" and len(p.stream.kinds) == 4 for p in server.peers))
+        assert not newcomer.responses and proxy.ports() == [9001, 9002, 9003]
+        for p in (proxy, newcomer):
+            await p.drop()
+
+    play(test, max_view_age_s=1.0)
+
+
+def test_cold_backend_has_the_weight_of_its_share():
+    async def inner() -> None:
+        made = settings(grades=EXAMPLE_SETTINGS["grades"])     # ramp of 10 s from a share of 0.2
+        discovery = List([*members(2), member("s-9", "127.0.0.1:9009", up_since_ms=time.time() * 1000)])
+        await discovery.start()
+        async with control(discovery, EXAMPLE, made) as server:
+            proxy = Proxy(server.port)
+            proxy.connect()
+            await until(lambda: EDS in proxy.view)
+            warm, cold = proxy.view[EDS]["backends"].endpoints
+            assert warm.load_balancing_weight.value == 2000 and cold.locality.sub_zone == "cold-s-9"
+            # 0.2 ** 1.5 of a warm one's at its start; it grows, and never past what its share allows.
+            assert 80 <= cold.load_balancing_weight.value <= 130
+            first = cold.load_balancing_weight.value
+            await until(lambda: proxy.view[EDS]["backends"].endpoints[1].load_balancing_weight.value > first)
+            await proxy.drop()
+        discovery.stop()
+
+    run(inner())
+
+
+def test_unknown_node_is_refused_and_a_known_one_served():
+    async def test(discovery, server) -> None:
+        stranger, known = Proxy(server.port, "stranger"), Proxy(server.port, "proxy-7")
+        stranger.connect()
+        known.connect()
+        await until(lambda: stranger.code is not None and RDS in known.view)
+        assert stranger.code is grpc.StatusCode.PERMISSION_DENIED and not stranger.responses
+        await known.drop()
+
+    play(test, unknown_nodes="refuse", nodes=["proxy-*"])
+
+
+def test_peer_that_misbehaves_loses_its_stream_only():
+    async def test(discovery, server) -> None:
+        from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
+
+        good = Proxy(server.port, "good")
+        good.connect()
+        await until(lambda: RDS in good.view)
+        async with grpc.aio.insecure_channel(f"127.0.0.1:{server.port}") as channel:
+            stub = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel)
+            for request, code in (
+                    (discovery_pb2.DiscoveryRequest(type_url="type.googleapis.com/x"), "INVALID_ARGUMENT"),
+                    (discovery_pb2.DiscoveryRequest(type_url=EDS, resource_names=map(str, range(20_000))),
+                     "INVALID_ARGUMENT"),
+                    (discovery_pb2.DiscoveryRequest(type_url=EDS, version_info="x" * (2 << 20)),
+                     "RESOURCE_EXHAUSTED")):
+                call = stub.StreamAggregatedResources()
+                with pytest.raises(grpc.aio.AioRpcError):
+                    await call.write(request)
+                    await call.read()
+                assert (await call.code()).name == code
+        discovery.tell(member("s-0", "", phase="removed"))
+        await until(lambda: good.ports() == [9002, 9003])
+        await good.drop()
+
+    play(test)
+
+
+def test_incremental_stream_says_what_is_gone_over_the_wire():
+    async def test(discovery, server) -> None:
+        from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
+
+        async with grpc.aio.insecure_channel(f"127.0.0.1:{server.port}") as channel:
+            call = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel).DeltaAggregatedResources()
+            first = discovery_pb2.DeltaDiscoveryRequest(
+                type_url=EDS, resource_names_subscribe=["backends", "no"])
+            first.node.id = "p"
+            await call.write(first)
+            response = await call.read()
+            assert [r.name for r in response.resources] == ["backends"]
+            assert response.removed_resources == ["no"]
+            held = {r.name: r.version for r in response.resources}
+            again = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel).DeltaAggregatedResources()
+            first.initial_resource_versions.update(held)
+            del first.resource_names_subscribe[1:]
+            await again.write(first)
+            discovery.tell(member("s-0", "", phase="removed"))
+            response = await again.read()       # nothing before the change: it held what there was
+            (resource,) = response.resources
+            assert resource.version != held["backends"] and response.type_url == EDS
+            call.cancel()
+            again.cancel()
+
+    play(test)
+
+
+def test_envoy_is_told_of_a_listener_where_one_is_set():
+    async def test(discovery, server) -> None:
+        proxy = Proxy(server.port)
+        proxy.connect()
+        await until(lambda: proxy.view.get(LDS))
+        address = proxy.view[LDS]["larchwing"].address.socket_address
+        assert (address.address, address.port_value) == ("127.0.0.1", 10_000)
+        await proxy.drop()
+
+    play(test, envoy_listen="127.0.0.1:10000")
