--- a/fennelpoint/xds/streams.py
+++ b/fennelpoint/xds/streams.py
@@ -227,7 +227,7 @@
         versions = {n: str(r.label) for n, r in wanted.items()}
         asked, s.asked = s.asked, set()
         news = versions != s.sent or bool(asked & versions.keys())
-        if not (news or (s.wildcard and not s.answered)) or versions == s.refused:
+        if not (news or (s.wildcard and not s.answered)):   # what was refused was sent, too: not again
             return None
         if not versions and not s.wildcard:
             return None     # nothing of what is subscribed to is there; its absence is not told this way
