Client status of the control service: CSDS and larchwing control status

Operators must see what each proxy has accepted and what it refused. The stream's state tells it, CSDS serves it, the command prints it; tested over gRPC with a proxy that refuses.

--- a/fennelpoint/cli.py
+++ b/fennelpoint/cli.py
@@ -116,11 +116,14 @@
     sys.exit(0 if found else 1)
 
 
-@main.command()
+@main.group(invoke_without_command=True)
+@click.pass_context
 @click.option("--config", "operator_file", default="deploy/operator.toml", show_default=True, type=FILE,
               help="The operator file; its sections control and routes are used.")
-def control(operator_file: str) -> None:
+def control(context: click.Context, operator_file: str) -> None:
     """Serve routes, endpoints and limits to other proxies over xDS, until SIGTERM."""
+    if context.invoked_subcommand is not None:
+        return
     from fennelpoint.xds.service import Unusable, run
 
     try:
@@ -129,6 +132,22 @@
         _end_with(error.faults, False)
 
 
+@control.command()
+@click.argument("address", default="127.0.0.1:18000")
+def status(address: str) -> None:
+    """Each proxy of the control service at ADDRESS, what it has, and whether that is the newest."""
+    import grpc
+
+    from fennelpoint.xds.server import fetch_status, status_lines
+
+    try:
+        lines = status_lines(asyncio.run(fetch_status(address)))
+    except grpc.aio.AioRpcError as error:
+        click.echo(f"{address}: {error.details()}", err=True)
+        sys.exit(1)
+    click.echo("\n".join(lines) or "no proxy is connected")
+
+
 @main.command()
 @click.option("--seconds", default=20.0, show_default=True, type=click.FloatRange(1.0, 3600.0))
 def demo(seconds: float) -> None:
--- a/fennelpoint/xds/server.py
+++ b/fennelpoint/xds/server.py
@@ -12,7 +12,9 @@
 from fnmatch import fnmatchcase
 
 import grpc
+from envoy.admin.v3 import config_dump_shared_pb2
 from envoy.service.discovery.v3 import discovery_pb2
+from envoy.service.status.v3 import csds_pb2, csds_pb2_grpc
 
 from fennelpoint import interface as api
 from fennelpoint.net.discovery import Address, Discovery
@@ -21,10 +23,12 @@
 from fennelpoint.routes.table import RouteTable
 from fennelpoint.xds.membership import Membership
 from fennelpoint.xds.resources import bodies
-from fennelpoint.xds.streams import Misuse, Response, Snapshot, Stream
+from fennelpoint.xds.streams import CDS, EDS, LDS, RDS, Misuse, Response, Snapshot, Stream
 
 SERVICE = "envoy.service.discovery.v3.AggregatedDiscoveryService"
 VIEWS = ("envoy", "grpc")
+KINDS = {"CDS": CDS, "EDS": EDS, "LDS": LDS, "RDS": RDS}
+DOES_NOT_EXIST = config_dump_shared_pb2.DOES_NOT_EXIST
 TICK = 0.5              # s between looks at what warms up
 REQUEST_RATE, REQUEST_BURST = 200.0, 2000.0     # requests a second of one stream, and saved up
 GRACE = 1.0             # s for streams to end at a stop
@@ -135,6 +139,7 @@
             "DeltaAggregatedResources": grpc.stream_stream_rpc_method_handler(
                 self._delta, discovery_pb2.DeltaDiscoveryRequest.FromString, bytes)}
         self.server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(SERVICE, handlers),))
+        csds_pb2_grpc.add_ClientStatusDiscoveryServiceServicer_to_server(ClientStatus(self), self.server)
         self.port = self.server.add_insecure_port(self.control.listen)
         await self.server.start()
         return self.port
@@ -250,3 +255,60 @@
             raise PermissionError(f"the node {node.id[:100]!r} is not known here")
         peer.node = node.id
         peer.view = "grpc" if node.user_agent_name.lower().startswith("grpc") else "envoy"
+
+
+STATES = {"synced": csds_pb2.SYNCED, "stale": csds_pb2.STALE, "error": csds_pb2.ERROR,
+          "not sent": csds_pb2.NOT_SENT, "does not exist": csds_pb2.NOT_SENT}
+
+
+class ClientStatus(csds_pb2_grpc.ClientStatusDiscoveryServiceServicer):
+    """CSDS (envoyproxy.io, "client status discovery service"): each proxy and what it has accepted."""
+
+    def __init__(self, control: ControlServer) -> None:
+        self.control = control
+
+    async def FetchClientStatus(self, request, context):  # noqa: N802, the service's own name
+        return self._status()
+
+    async def StreamClientStatus(self, request_iterator, context):  # noqa: N802
+        async for _ in request_iterator:
+            yield self._status()
+
+    def _status(self) -> csds_pb2.ClientStatusResponse:
+        made = csds_pb2.ClientStatusResponse()
+        for peer in sorted(self.control.peers, key=lambda p: p.node):
+            if not peer.view:
+                continue
+            config = made.config.add()
+            config.node.id = peer.node
+            for held in peer.stream.status(self.control.snapshots[peer.view]):
+                one = config.generic_xds_configs.add(
+                    type_url=held.kind, name=held.name, version_info=held.version,
+                    config_status=STATES[held.state])
+                if held.state == "error":
+                    one.error_state.details = held.error
+                if held.state == "does not exist":
+                    one.client_status = DOES_NOT_EXIST
+        return made
+
+
+def status_lines(response: csds_pb2.ClientStatusResponse) -> list[str]:
+    """A CSDS response for a terminal, a resource a line."""
+    words = {number: word for word, number in STATES.items() if word != "does not exist"}
+    rows = []
+    for config in response.config:
+        for one in config.generic_xds_configs:
+            word = "does not exist" if one.client_status == DOES_NOT_EXIST else words[one.config_status]
+            kind = next((k for k, url in KINDS.items() if url == one.type_url), one.type_url)
+            rows.append((config.node.id, kind, one.name, word, one.version_info or "-",
+                         one.error_state.details))
+    widths = [max((len(row[i]) for row in rows), default=0) for i in range(5)]
+    padded = ([cell.ljust(w) for cell, w in zip(row, [*widths, 0], strict=True)] for row in rows)
+    return ["  ".join(cells).rstrip() for cells in padded]
+
+
+async def fetch_status(address: str) -> csds_pb2.ClientStatusResponse:
+    """Ask a control service; raises grpc.aio.AioRpcError where it can't be asked."""
+    async with grpc.aio.insecure_channel(address) as channel:
+        stub = csds_pb2_grpc.ClientStatusDiscoveryServiceStub(channel)
+        return await stub.FetchClientStatus(csds_pb2.ClientStatusRequest(), timeout=5.0)
--- a/fennelpoint/xds/streams.py
+++ b/fennelpoint/xds/streams.py
@@ -63,6 +63,17 @@
     removed: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Held:
+    """One resource as a proxy has it: synced, stale, not sent, error, or does not exist."""
+
+    kind: str
+    name: str
+    state: str
+    version: str    # accepted last; empty: none
+    error: str = ""
+
+
 @dataclass(slots=True)
 class Subscription:
     """One type on one stream."""
@@ -253,6 +264,24 @@
         version = str(Label(snapshot.stand, "0" * 12))     # for people: proxies go by each resource's own
         return Response(kind, version, self._next(), tuple(changed), tuple(removed))
 
+    def status(self, snapshot: Snapshot) -> list[Held]:
+        """What the proxy has of each resource that it wants, by type and name."""
+        out = []
+        for kind in ORDER:
+            if (s := self.kinds.get(kind)) is None:
+                continue
+            there = snapshot.types.get(kind, {})
+            for name in sorted({n for n in there if s.wants(n)} | s.names | set(s.acked)):
+                held, newest = s.acked.get(name, ""), str(there[name].label) if name in there else ""
+                if s.refused is not None and s.refused.get(name, held) != held:
+                    state = "error"
+                elif not newest:
+                    state = "stale" if held else "does not exist"
+                else:
+                    state = "synced" if held == newest else "stale" if held else "not sent"
+                out.append(Held(kind, name, state, held, s.error if state == "error" else ""))
+        return out
+
     def behind(self, snapshot: Snapshot) -> dict[str, list[str]]:
         """By type, the names whose newest version the proxy has not accepted."""
         out = {}
--- a/tests/xds/test_server.py
+++ b/tests/xds/test_server.py
@@ -281,3 +281,29 @@
         await proxy.drop()
 
     play(test, envoy_listen="127.0.0.1:10000")
+
+
+def test_status_tells_what_each_proxy_has_and_what_it_refused():
+    async def test(discovery, server) -> None:
+        from fennelpoint.xds.server import fetch_status, status_lines
+
+        good, bad = Proxy(server.port, "good"), Proxy(server.port, "worse", refuse=EDS)
+        for proxy in (good, bad):
+            proxy.connect()
+        address = f"127.0.0.1:{server.port}"
+        version = str(server.snapshots["envoy"].types[EDS]["backends"].label)
+        lines: list[list[str]] = []
+
+        async def told(*words: str) -> None:
+            end = time.monotonic() + 10.0
+            while not any(line[:len(words)] == list(words) for line in lines):
+                assert time.monotonic() < end, (words, lines)
+                lines[:] = [line.split() for line in status_lines(await fetch_status(address))]
+
+        await told("good", "EDS", "backends", "synced", version)
+        await told("worse", "EDS", "backends", "error", "-", "not", "this", "one")
+        await told("good", "RDS", "larchwing", "synced")
+        for proxy in (good, bad):
+            await proxy.drop()
+
+    play(test)
--- a/tests/xds/test_streams.py
+++ b/tests/xds/test_streams.py
@@ -133,6 +133,24 @@
     assert s.pull(one, fresh=False) is None and s.pull(one, fresh=True) is not None
 
 
+def test_status_of_each_resource():
+    s, one = Stream(False), snapshot(eds={"a": b"1", "b": b"1"})
+    s.request(EDS, "", "", ["a", "b", "c"], None)
+
+    def states(now) -> list[str]:
+        return [held.state for held in s.status(now)]
+
+    assert states(one) == ["not sent", "not sent", "does not exist"]
+    first = s.pull(one)
+    s.request(EDS, first.version, first.nonce, ["a", "b", "c"], None)
+    assert states(one) == ["synced", "synced", "does not exist"]
+    two = snapshot(one, 2, eds={"a": b"2", "b": b"1"})
+    assert states(two) == ["stale", "synced", "does not exist"]
+    s.request(EDS, first.version, s.pull(two).nonce, ["a", "b", "c"], "no")
+    assert states(two) == ["error", "synced", "does not exist"] and s.status(two)[0].error == "no"
+    assert states(snapshot(two, 3, eds={"b": b"1"}))[0] in ("error", "stale")
+
+
 def test_misuse_ends_the_stream():
     import pytest
     for request in (lambda s: s.request("x", "", "", [], None),
