--- a/tests/routes/test_under_change.py
+++ b/tests/routes/test_under_change.py
@@ -110,8 +110,8 @@
             reader, writer = await made.connect()
             writer.write(b"POST /api/../x%2fy?q=1#f HTTP/1.1\r\nHost: app.svc\r\nX-Txn: t1\r\n"
                          b"X-Lane: book\r\nApi-Plan: basic\r\nCookie: account=00000000b4d65521\r\n"
-                         b"X-Remaining-Ms: 5000\r\nApi-Terms: units=1,spread=2,first=0\r\nX-Own: 2\r\nConnection: x-own\r\n"
-                         b"Content-Length: 3\r\n\r\nabc")
+                         b"X-Remaining-Ms: 5000\r\nApi-Terms: units=1,spread=2,first=0\r\nX-Own: 2\r\n"
+                         b"Connection: x-own\r\nContent-Length: 3\r\n\r\nabc")
             answer = await reader.readuntil(b"\r\n\r\n") + await reader.readexactly(2)
             assert answer == b"HTTP/1.1 200 OK\r\nx-kept: 1\r\ncontent-length: 2\r\n\r\nhi"
             writer.write(b"OPTIONS /api HTTP/1.1\r\nHost: app.svc\r\n\r\n")
