Stores survive a silent counter, and util counts as one request

At fault: upkeep's fill in Controller._counted (filled to the brim first, then the use of a whole silence taken off, and the others' late share of it a second time), the pause of each customer that outlived the silence, and _report (util as 1 / (1.1 - util)).

Change: settle() takes the use of a silence from what came in meanwhile and keeps the others' part for late telling; at other reads the plan's price for going beyond decides between the two readings; the pause ends once others are answered; util counts as one request at most.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -13,7 +13,7 @@
 from fennelpoint import interface as api
 from fennelpoint.choice import cold_odds, cold_share
 from fennelpoint.state import Backend, Customer, Cut, Try
-from fennelpoint.upkeep import Fleet, Line, Sums, Timers, fill, forget, new_total, same_group
+from fennelpoint.upkeep import Fleet, Line, Sums, Timers, fill, forget, new_total, same_group, settle
 
 PERIOD, COUNT_PERIOD = 0.5, 1.0  # s; short against bursts of seconds; a counter call has a price
 STEPS, STEP = 3, 0.05   # m, and the share of the rate sent that one constant step takes off
@@ -22,7 +22,7 @@
 FIT_MEMORY, FIT_LEAST = 0.98, 2.0  # past's weight a period (about 25 s); points that a line must pass
 RATE_MEMORY, IDLE_RATE = 0.7, 0.05  # past's weight in averages, a period; units a second that count as none
 PUMP, LATE_MARGIN = 0.02, 3.0  # s between looks at what waits; usual latencies between release and aim
-SILENT_AFTER, FORGET_COUNT = 1.0, 60.0  # s: the counter is silent; a count's longest life
+SILENT_AFTER, SILENT_CALLS, FORGET_COUNT = 1.0, 3, 60.0  # the counter is silent: s, calls; a count's life, s
 BACK_OFF, BACK_OFF_MOST = 0.25, 8.0  # s of pause after a lost call, half of the first; at most
 SHORT_FOR, READ_LEAST = 6.0, 0.15  # s after units were missing; s between two reads
 READ_PART, LOW_PART = 0.25, 0.1  # of the s in which a store fills, between reads: while short; when low
@@ -74,6 +74,7 @@
         self.fit, self.work, self.period_at = Fit(), 0.0, now
         self.window, self.pressure, self.cut_at, self.rest_until = 0.0, 0.0, now, now  # own attempts out
         self.retries, self.cut, self.pressed = RETRY_BURST, None, False
+        self.answers, self.unanswered, self.silent_at = 0, 0, -inf  # calls in a row; when several were lost
         self.asking, self.usual_held = 1.0, 0.0  # share of sparse tries that ask; requests a backend reports
         self.odds = [[1.0, 0.3] for _ in settings.plans]  # that a first sparse try, and a repeat, has room
         self.blind = HERD + (1.0 - HERD) * max(0.0, 1.0 - SEES / settings.ingresses)  # to others' work
@@ -125,6 +126,8 @@
         plan, period = self.settings.plans[c.plan], COUNT_PERIOD
         fills = plan.burst / plan.rate if plan.rate else inf
         low = c.level < LOW * c.granted and not c.fails
+        if c.fails and self.answers >= SILENT_CALLS:  # guards against a pause that outlives the silence
+            c.count_at = min(c.count_at, now)
         if now < (min(c.count_at, c.total_at + max(READ_LEAST, LOW_PART * fills)) if low else c.count_at):
             return
         if short := plan.rate > 0.0 and now - c.short_at < SHORT_FOR:
@@ -144,6 +147,9 @@
         if (c := self.customers.get(reply.name)) is None or c.asking:
             return self._answered(c, reply, ok, now) if c else None
         added, c.calling, c.fails = c.calling or 0.0, None, 0 if ok else c.fails + 1
+        self.answers = self.answers + 1 if ok else 0
+        self.unanswered = 0 if ok else self.unanswered + 1
+        self.silent_at = now if self.unanswered >= SILENT_CALLS else self.silent_at
         if c.held:  # what it may do is told anew: look again at what waits
             self.out += self.timers.wake(TOKEN_PUMP, now + PUMP, now)
         if not ok:
@@ -164,8 +170,8 @@
             c.ours, c.alls = c.ours * keep + own + spared, c.alls * keep + everyone + spared
             c.spans = c.spans * keep + span
             self._share(c)
-        # Filled first, then used: guards against counting what a full store let run over while it was idle.
-        c.store = max(-DEBT * plan.burst, min(plan.burst, c.store + plan.rate * span) - everyone)
+        settle(c, plan, everyone, span, self.silent_at > now - span)
+        c.store = max(-DEBT * plan.burst, c.store)
         # Guards against stores that are small beside a request: each ingress kept one, which made up a burst.
         kept = min(c.level, self.settings.most_units, KEPT * plan.burst / c.width)
         kept += min(0.0, c.store) * c.share * REPAY
@@ -411,8 +417,10 @@
     def _report(self, b: Backend, values: list[float], now: float) -> None:
         """Take in a backend's own word on the requests it holds."""
         told = {k: v for k, v in zip(self.settings.report_fields, values, strict=False) if 0.0 <= v < inf}
-        busy = 1.0 / (1.1 - min(1.0, told.get("util", 0.0))) - 1.0 / 1.1
-        held = max(told.get("inflight", 0.0), told.get("queue", 0.0), busy)
+        # Guards against flocking: util tells how busy the cores are, not how many wait.  Taken for a line
+        # without bound, one old report of a busy moment kept all ingresses away from a server that had
+        # long been idle, and they met at the one whose last word was the lowest.
+        held = max(told.get("inflight", 0.0), told.get("queue", 0.0), min(1.0, told.get("util", 0.0)))
         self.usual_held += LEARN / 4 * (held - self.usual_held) if told else 0.0
         # Where nothing is told: guards against reports that stop just from the busy ones.
         b.reported, b.reported_at = held if told else max(b.reported, 2.0 * self.usual_held), now
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -58,6 +58,7 @@
     ours: float = 0.0       # asked here, fading
     alls: float = 0.0       # asked everywhere, fading
     calling: float | None = None    # told by the call that is out, if one is
+    over: float = 0.0       # ran over the store's brim lately: for use that is told late
     spans: float = 0.0      # s that these were asked in, fading alike
     ceiling: float = 0.0    # units under the ceiling
     open: int = 0           # attempts out
--- a/fennelpoint/upkeep.py
+++ b/fennelpoint/upkeep.py
@@ -12,6 +12,8 @@
 from fennelpoint import interface as api
 from fennelpoint.state import Backend, Customer, Try
 
+OVER_HALF = 2.0  # s after which half of what ran over is not waited for any more
+
 
 class Timers:
     """One timer for each token: the soonest that was asked for; those that it replaced are stale."""
@@ -155,6 +157,27 @@
     return own, max(total - before, own) if compares else None, span
 
 
+def settle(c: Customer, plan: api.Plan, used: float, span: float, silent: bool) -> None:
+    """Bring the store of all ingresses up to a total: `used` in the `span` s since the one before.
+
+    Usually filled first, then used, as far as a unit beyond the quota costs as much as one that is served
+    earns: guards against counting what a full store let run over while it was idle.
+
+    After a silence of the counter that would take the use of all of it off a store that was full at most:
+    at the first total for our own use, at the next ones for the others'.  It never came back where about
+    the quota is asked for.  So use takes from what came in meanwhile, and what ran over is kept some
+    seconds for what the others tell later: no more than their even shares gave them in that time.
+    """
+    filled, c.over = c.store + plan.rate * span, c.over * 0.5 ** (span / OVER_HALF)
+    used_first, dear = min(plan.burst, filled - used), min(1.0, plan.over_cost)
+    if silent:
+        c.over += min(max(0.0, filled - used - plan.burst), plan.rate * span * (1.0 - 1.0 / c.width))
+        dear = 0.0
+    c.store = used_first + dear * (min(plan.burst, filled) - used - used_first)
+    back = min(c.over, max(0.0, plan.burst - c.store))
+    c.store, c.over = c.store + back, c.over - back
+
+
 def forget(customers: dict[int, Customer], most: int, before: float) -> None:
     """Drop customers that nothing was heard of since then, looking at the longest unseen ones only."""
     for c in list(islice(customers.values(), most)):
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -222,3 +222,15 @@
         world.answer(send.request, send.backend, api.Status.RESET, latency=0.1)
     backend = world.control.fleet.known["a"]
     assert backend.fails == 1 and backend.slow <= control.FAILED
+
+
+def test_one_old_word_of_busy_cores_does_not_keep_all_away_from_an_idle_backend():
+    """util 1 says that the cores are busy, not that a line waits: taken for nine requests, it sent three
+    ingresses to the backend whose last word was the lowest, however much was out there."""
+    world = World(make_settings(ingresses=3, report_via="answers", report_fields=["latency_ms", "util"]))
+    world.backends("a", "b")
+    for backend, util in (("a", 1.0), ("b", 0.2)) * 20:
+        world.control._report(world.control.fleet.known[backend], [100.0, util], world.now)
+    chosen = [action.backend for customer in range(8) for action in world.ask(customer=customer)
+              if isinstance(action, api.Send)]
+    assert len(chosen) == 8 and chosen.count("a") >= 3
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,116 @@
+"""The counter goes silent and comes back: what the stores are held to have, and when it is asked again."""
+
+import pytest
+from conftest import HARD, SOFT, World, make_settings
+
+from fennelpoint import interface as api
+
+
+def use(world: World, seconds: int, status: api.Status = api.Status.OK, totals: dict | None = None,
+        others: float = 0.0, **ask) -> None:
+    """One unit a second here, and `others` by the other ingress, with a chance to tell it each second."""
+    for _ in range(seconds):
+        sent = world.ask(**ask)
+        for action in sent:
+            if isinstance(action, api.Send):
+                world.answer(action.request, action.backend)
+        world.wait(1.0)
+        world.count_replies(status=status, totals=totals, others=others)
+
+
+def wide(**changes) -> World:
+    world = World(make_settings(**changes))
+    world.backends(*(f"s{i:02}" for i in range(40)))
+    return world
+
+
+@pytest.fixture
+def after_silence() -> tuple[World, dict]:
+    """Three of four units a second are used, two of them elsewhere, through a silence of 10 s."""
+    world, totals = wide(), {}
+    use(world, 6, totals=totals, others=2.0)
+    use(world, 10, status=api.Status.FULL)
+    world.wait(8.0)     # longer than any pause after a lost call
+    return world, totals
+
+
+def test_use_in_a_silence_takes_from_what_came_in_meanwhile(after_silence):
+    world, totals = after_silence
+    use(world, 1, totals=totals, others=0.0)    # our own use is told first
+    assert world.control.customers[1].store > 6.0
+
+
+def test_use_that_others_tell_late_takes_from_what_ran_over(after_silence):
+    world, totals = after_silence
+    use(world, 2, totals=totals, others=0.0)
+    use(world, 1, totals=totals, others=8.0)    # what they used in the silence comes in two lumps
+    use(world, 1, totals=totals, others=8.0)
+    # Truly it is full, less the last second.  Filled first, the lumps left it at its floor of -0.8.
+    assert world.control.customers[1].store > 4.0
+
+
+def test_what_ran_over_is_not_kept_for_long(after_silence):
+    world, totals = after_silence
+    use(world, 14, totals=totals, others=0.0)
+    use(world, 2, totals=totals, others=10.0)   # a burst of now, not of then
+    assert world.control.customers[1].store < 1.0
+
+
+def test_no_more_is_kept_than_the_others_could_use_in_the_silence(after_silence):
+    world, totals = after_silence
+    customer, before = world.control.customers[1], world.control.customers[1].total_at
+    use(world, 1, totals=totals)
+    silence = customer.total_at - before
+    assert customer.over == pytest.approx(0.5 * 4.0 * silence)     # the even share of one other ingress
+    use(world, 1, totals=totals, others=100.0)
+    assert customer.store < 0.0
+
+
+def test_a_customer_that_did_not_ask_in_the_silence_is_seen_by_the_silence_of_the_others():
+    world, totals = wide(), {}
+    for customer in (1, 2):
+        use(world, 6, totals=totals, others=2.0, customer=customer)
+    use(world, 10, status=api.Status.FULL, customer=2)
+    use(world, 1, totals=totals, others=0.0, customer=2)
+    use(world, 1, totals=totals, others=20.0, customer=1)   # what it used elsewhere
+    assert world.control.customers[1].store > 6.0
+
+
+def test_the_pause_after_lost_calls_ends_once_others_are_answered():
+    world = wide()
+    for _ in range(40):
+        world.ask(customer=1)
+        world.wait(0.5)
+        world.count_replies(status=api.Status.FULL)
+    assert world.control.customers[1].count_at - world.now > 1.0 or world.control.customers[1].fails > 4
+    for customer in range(10, 14):
+        world.ask(customer=customer)
+        world.wait(1.1)
+        world.ask(customer=customer)
+        world.count_replies(totals={})
+    world.ask(customer=1)
+    assert [call.name for call in world.counts] == [1]
+
+
+def test_the_pause_lasts_while_nobody_is_answered():
+    world = wide()
+    calls = 0
+    for _ in range(40):
+        world.ask(customer=1)
+        world.wait(0.5)
+        calls += len(world.counts)
+        world.count_replies(status=api.Status.FULL)
+    assert calls <= 10
+
+
+@pytest.mark.parametrize(("plan", "least", "most"), [(HARD, 1.9, 2.1), (SOFT, 5.9, 8.0)])
+def test_use_is_taken_off_by_what_a_wrong_belief_costs(plan, least, most):
+    """Six units told after 2 s in which eight came in: used after it was full, or while it filled."""
+    world, totals = wide(), {}
+    use(world, 2, totals=totals, plan=plan)
+    world.wait(3.0)
+    world.control.customers[1].store = 8.0
+    world.control.customers[1].total_at = world.now - 2.0
+    world.ask(plan=plan)
+    world.count_replies(totals=totals, others=5.0)
+    assert least <= world.control.customers[1].store <= most
