Dear tries first within a short customer's quota, and no credit after silences

A trace of single customers showed that a heavy one uses all its refill (8.8 units a second of 7.3): only which tries get it was wrong.

At fault: Controller._enter let a new try wait behind all units its customer has waiting, though _pump releases by worth, and refused a dear one for a line that it would not have stood in; and _place spent the units on the many cheap tries that came first.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -13,7 +13,7 @@
 from fennelpoint import interface as api
 from fennelpoint.choice import cold_odds, cold_share
 from fennelpoint.state import Backend, Customer, Cut, Try
-from fennelpoint.upkeep import Fleet, Line, Sums, Timers, fill, forget, new_total, same_group, settle
+from fennelpoint.upkeep import Fleet, Line, Sums, Timers, fill, forget, new_total, same_group, settled
 
 PERIOD, COUNT_PERIOD = 0.5, 1.0  # s; short against bursts of seconds; a counter call has a price
 STEPS, STEP = 3, 0.05   # m, and the share of the rate sent that one constant step takes off
@@ -27,6 +27,7 @@
 SHORT_FOR, READ_LEAST = 6.0, 0.15  # s after units were missing; s between two reads
 READ_PART, LOW_PART = 0.25, 0.1  # of the s in which a store fills, between reads: while short; when low
 OTHERS, DEBT, REPAY = 1.5, 0.1, 0.5  # what others may take over the expected; of the burst; paid at a read
+KEEP = 0.6  # of a bucket, left to dear tries
 LOW, KEPT = 0.5, 0.35  # of what a read granted: read anew below; of the even part of a burst, kept at a read
 SPARED = 1 << 40    # over all keys; a key and this is the counter's name for what was asked and not taken
 ASKED_HALF, SPARSE = 2.0, 10.0  # s: asks count half in a share; to fill one request: past it each try asks
@@ -107,9 +108,13 @@
         forget(self.customers, SWEEP, now - FORGET)
         return c
 
+    def _depth(self, c: Customer) -> float:
+        burst = self.settings.plans[c.plan].burst
+        return max(burst * c.share, min(burst, self.settings.most_units))
+
     def _fill(self, c: Customer, now: float) -> None:
         plan, most = self.settings.plans[c.plan], self.settings.most_units
-        fill(c, plan, max(plan.burst * c.share, min(plan.burst, most)), max(c.cap or 0.0, most), now)
+        fill(c, plan, self._depth(c), max(c.cap or 0.0, most), now)
 
     def _count(self, c: Customer, now: float) -> None:
         """Tell the counter what was taken from the quota, once a period, and learn what all ingresses took.
@@ -170,8 +175,7 @@
             c.ours, c.alls = c.ours * keep + own + spared, c.alls * keep + everyone + spared
             c.spans = c.spans * keep + span
             self._share(c)
-        settle(c, plan, everyone, span, self.silent_at > now - span)
-        c.store = max(-DEBT * plan.burst, c.store)
+        c.store = max(-DEBT * plan.burst, settled(c.store, plan, everyone, span, self.silent_at > now - span))
         # Guards against stores that are small beside a request: each ingress kept one, which made up a burst.
         kept = min(c.level, self.settings.most_units, KEPT * plan.burst / c.width)
         kept += min(0.0, c.store) * c.share * REPAY
@@ -236,6 +240,8 @@
         half = now + ask.time_left / 2 - 2 * PUMP - self.settings.tick
         t = Try(ask, c, now + min(cls.aim, ask.time_left), ends, cls.worth * plan.price, half)
         self.line.open[ask.request], c.worth = t, max(c.worth, t.worth)
+        if t.worth >= c.top or now - c.top_at > SHORT_FOR:
+            c.top, c.top_at = t.worth, now
         self._fill(c, now)
         if c.window:
             return self._ask_counter(t, now)
@@ -245,12 +251,14 @@
     def _enter(self, t: Try, now: float) -> None:
         """Send a new try, hold it while its aim can be met, or refuse it at once."""
         c, ask, plan = t.customer, t.ask, self.settings.plans[t.ask.plan]
-        queued = t.inside is None and c.held > 0.0 and c.level < c.held + ask.units  # others came first
+        # Guards dear tries that are wanted soon: the line is kept by worth, and cheap ones come after.
+        ahead = c.ahead(t.worth)
+        queued = t.inside is None and ahead > 0.0 and c.level < ahead + ask.units
         if not queued and (self._place(t, now) or ask.request in self.line.held):
             return
-        need = ask.units + c.held  # and the s until the bucket holds its units and those that wait before it
+        need = ask.units + ahead  # and the s until the bucket holds its units and those that wait before it
         rate = plan.rate * max(c.share, 0.01) if t.inside is None and plan.rate else inf
-        wait = (need - c.level) / rate
+        wait = (need + self._kept(t, now) - c.level) / rate
         wait = max(wait, (need - c.ceiling) * c.width / plan.ceiling_rate) if plan.ceiling_rate else wait
         late = t.inside is False or now + max(0.0, wait) + LATE_MARGIN * self.usual[ask.cls] > t.aim_at
         self._refuse(t, now, max(wait, c.window / 2)) if late else self._hold(t, now)
@@ -263,7 +271,7 @@
             if (plan.ceiling_rate and c.ceiling < units) or (c.cap is not None and c.cap_level < min(
                     units, max(c.cap, self.settings.most_units))):
                 return False
-            room = not plan.rate or (c.level >= units if t.inside is None else t.inside)
+            room = not plan.rate or (c.level >= units + self._kept(t, now) if t.inside is None else t.inside)
             inside = room and not (plan.open_limit and c.open >= max(1, round(plan.open_limit * c.share)))
             if not inside and (plan.over_worth <= 0.0 or self.pressed):
                 c.short_at = now
@@ -285,6 +293,17 @@
         self.out.append(api.Send(t.ask.request, b.entry.backend))
         return True
 
+    def _kept(self, t: Try, now: float) -> float:
+        """Units of a short customer's bucket that its cheap tries leave to the dear ones it asks for, too.
+
+        Guards the worth of a quota: whoever asks for more than it has gets as many units either way, but the
+        cheap tries, being more, came first.  Part of the bucket at most: a try must find it full enough.
+        """
+        c, lately = t.customer, now - SHORT_FOR
+        if t.worth >= c.top or c.top_at < lately or c.short_at < lately:
+            return 0.0
+        return min(self.settings.most_units, KEEP * max(0.0, self._depth(c) - t.ask.units))
+
     def _hold(self, t: Try, now: float) -> None:
         """Keep it until it may be sent, or until its aim or its client can't be met any more.
 
@@ -302,7 +321,8 @@
         c, plan, soon = t.customer, self.settings.plans[t.ask.plan], max(now + PUMP, t.not_before)
         if t.charged or t.inside is not None or not plan.rate or plan.over_worth > 0.0:
             return soon
-        return max(soon, c.filled + (t.ask.units - c.level) / (plan.rate * max(c.share, 0.01)))
+        missing = t.ask.units + self._kept(t, now) - c.level
+        return max(soon, c.filled + missing / (plan.rate * max(c.share, 0.01)))
 
     def _pump(self, now: float) -> None:
         """Release held tries, the highest worth first; end those that can't make it any more."""
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -55,14 +55,16 @@
     spare_at: float = 0.0   # when that may be told next
     spared_total: float | None = None   # what all ingresses have told of it
     short_at: float = -1e9  # when units were last missing
+    top: float = 0.0        # the greatest worth asked for lately
+    top_at: float = -1e9    # when that was
     ours: float = 0.0       # asked here, fading
     alls: float = 0.0       # asked everywhere, fading
     calling: float | None = None    # told by the call that is out, if one is
-    over: float = 0.0       # ran over the store's brim lately: for use that is told late
     spans: float = 0.0      # s that these were asked in, fading alike
     ceiling: float = 0.0    # units under the ceiling
     open: int = 0           # attempts out
     held: float = 0.0       # units waiting
+    waits: dict[float, float] = field(default_factory=dict)     # the same by worth
     sent: float = 0.0       # units this period
     rate: float = 0.0       # average units a second sent
     ratio: float = 0.0      # average latency over aim
@@ -71,6 +73,10 @@
     cap: float | None = None    # units a second while it is cut
     cap_level: float = 0.0
 
+    def ahead(self, worth: float) -> float:
+        """Units that wait and are released before a new try of this worth."""
+        return sum(units for other, units in self.waits.items() if other >= worth) if self.held else 0.0
+
 
 @dataclass(slots=True, eq=False)
 class Try:
--- a/fennelpoint/upkeep.py
+++ b/fennelpoint/upkeep.py
@@ -12,8 +12,6 @@
 from fennelpoint import interface as api
 from fennelpoint.state import Backend, Customer, Try
 
-OVER_HALF = 2.0  # s after which half of what ran over is not waited for any more
-
 
 class Timers:
     """One timer for each token: the soonest that was asked for; those that it replaced are stale."""
@@ -48,12 +46,14 @@
         if t.ask.request not in self.held:
             self.held[t.ask.request] = t
             t.customer.held += t.ask.units
+            t.customer.waits[t.worth] = t.customer.waits.get(t.worth, 0.0) + t.ask.units
 
     def release(self, t: Try) -> bool:
         """Whether it was waiting."""
         if self.held.pop(t.ask.request, None) is None:
             return False
         t.customer.held = max(0.0, t.customer.held - t.ask.units)
+        t.customer.waits[t.worth] = max(0.0, t.customer.waits[t.worth] - t.ask.units)
         return True
 
     def end(self, request: int) -> None:
@@ -157,25 +157,18 @@
     return own, max(total - before, own) if compares else None, span
 
 
-def settle(c: Customer, plan: api.Plan, used: float, span: float, silent: bool) -> None:
-    """Bring the store of all ingresses up to a total: `used` in the `span` s since the one before.
+def settled(store: float, plan: api.Plan, used: float, span: float, silent: bool) -> float:
+    """The store of all ingresses at a total: `used` units in the `span` s since the one before.
 
     Usually filled first, then used, as far as a unit beyond the quota costs as much as one that is served
     earns: guards against counting what a full store let run over while it was idle.
 
-    After a silence of the counter that would take the use of all of it off a store that was full at most:
-    at the first total for our own use, at the next ones for the others'.  It never came back where about
-    the quota is asked for.  So use takes from what came in meanwhile, and what ran over is kept some
-    seconds for what the others tell later: no more than their even shares gave them in that time.
+    After a silence of the counter that would take the use of all of it off a store that was full at most,
+    and never come back where about the quota is asked for.  So use then takes from what came in meanwhile.
     """
-    filled, c.over = c.store + plan.rate * span, c.over * 0.5 ** (span / OVER_HALF)
-    used_first, dear = min(plan.burst, filled - used), min(1.0, plan.over_cost)
-    if silent:
-        c.over += min(max(0.0, filled - used - plan.burst), plan.rate * span * (1.0 - 1.0 / c.width))
-        dear = 0.0
-    c.store = used_first + dear * (min(plan.burst, filled) - used - used_first)
-    back = min(c.over, max(0.0, plan.burst - c.store))
-    c.store, c.over = c.store + back, c.over - back
+    filled = store + plan.rate * span
+    used_first, dear = min(plan.burst, filled - used), 0.0 if silent else min(1.0, plan.over_cost)
+    return used_first + dear * (min(plan.burst, filled) - used - used_first)
 
 
 def forget(customers: dict[int, Customer], most: int, before: float) -> None:
