A counter connection that fell silent is left after three of the counter's time-outs

Change: patience is three of the counter's time-outs (from the settings), looked at with each time-out, and doubles after each connection in a row that said nothing, up to the second that it was.

--- a/fennelpoint/net/counter.py
+++ b/fennelpoint/net/counter.py
@@ -19,7 +19,8 @@
 
 CALL_TIMEOUT = 0.05     # s, where the settings tell none
 CONNECT_TIMEOUT = 0.25  # s
-SILENT = 1.0            # s without an answer that is due: the connection is dead, though it looks open
+SILENT = 1.0            # s without an answer that is due: the counter is silent
+LINE_SILENT = 3.0       # time-outs without one: the connection is dead, though it looks open
 IDLE = 3.0              # s after which it is closed from here, before the counter does
 PAUSE = 0.1             # s between two connects where the last failed
 MOST_LINE, MOST_CALLS = 256, 10_000  # bytes without a line's end; calls on the line
@@ -63,6 +64,7 @@
         self.told: deque[Call] = deque()        # all calls in their order, to end those in time
         self.timer: asyncio.TimerHandle | None = None
         self.unanswered_since: float | None = None  # of calls, none of which was answered since
+        self.unheard = 0        # connections in a row that were left as silent
 
     @property
     def answers(self) -> bool:
@@ -70,6 +72,16 @@
         since = self.unanswered_since
         return since is None or time.monotonic() - since < SILENT
 
+    @property
+    def patience(self) -> float:
+        """Seconds without an answer that is due after which a connection is left for a new one.
+
+        A few time-outs, by the counter's own: what is called meanwhile may or may not have been added, so
+        each second of it is use that nobody is told of.  Twice as long after each connection in a row that
+        said nothing: guards a counter that is slow, or down, against a client that only reconnects.
+        """
+        return max(self.timeout, min(SILENT, LINE_SILENT * self.timeout * 2.0 ** min(self.unheard, 10)))
+
     def call(self, name: int, amount: float, forget_after: float, tell: Tell) -> None:
         """Add an amount to a name; the reply is told once, within the time-out."""
         life = min(60_000, max(1, round(forget_after * 1000)))
@@ -99,9 +111,18 @@
                 call.end(Status.CONNECT_FAILED)
             else:
                 call.end(Status.TIMEOUT)
+        self._leave_silent(now)
         if self.told and self.timer is None:
             self.timer = self.loop.call_later(max(0.001, self.told[0].at + self.timeout - now), self._late)
 
+    def _leave_silent(self, now: float) -> None:
+        """Guards against a connection that died without a word: TCP does not tell for minutes."""
+        line = self.line
+        if line is not None and line.calls and now - max(line.calls[0].at, line.heard) > self.patience:
+            complain("counter", "is silent on its connection")
+            self.unheard += 1
+            line.close()
+
     def _connect(self) -> None:
         if time.monotonic() < self.not_before:
             return
@@ -165,11 +186,10 @@
             line.close()
         if (line := self.line) is None:
             return
-        if line.calls and now - max(line.calls[0].at, line.heard) > SILENT:
-            complain("counter", "is silent on its connection")
-            line.close()
-        elif not line.calls and now - line.used > IDLE:
+        if not line.calls and now - line.used > IDLE:
             line.close()
+        else:
+            self._leave_silent(now)
 
     def close(self) -> None:
         if self.connecting is not None:
@@ -208,7 +228,7 @@
         self.transport.write(call.line)
 
     def data_received(self, data: bytes) -> None:
-        self.heard = time.monotonic()
+        self.heard, self.counter.unheard = time.monotonic(), 0
         *lines, self.rest = (self.rest + data).split(b"\r\n")
         for line in lines:
             if not self.calls or not self._answer(self.calls.popleft(), line):
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -112,3 +112,71 @@
                                           (1 / 3, b"0.333333")])
 def test_amounts_are_plain_decimals(amount, text):
     assert amount_text(amount) == text
+
+
+def test_silent_connection_is_left_after_a_few_time_outs(monkeypatch):
+    """It was waited for a second and more: all that was used meanwhile was told to nobody."""
+    monkeypatch.setattr("fennelpoint.net.counter.SILENT", 60.0)
+
+    async def play() -> None:
+        opened = []
+
+        async def handle(reader, writer):
+            opened.append(writer)
+            while line := await reader.readline():
+                if len(opened) != 1 or b" 1 " in line:
+                    writer.write(b"ok 1\r\n")
+
+        async with Play(handle) as p:
+            p.call(1)
+            await p.told(1)
+            p.call(2, 2.0)      # never answered, and nothing ends
+            while len(opened) < 2:
+                await asyncio.sleep(0.02)
+                p.call(3, 2.0)
+            await until(lambda: any(r.name == 3 and r.status is Status.OK for r in p.replies))
+            assert p.replies[1].status is Status.TIMEOUT
+            assert p.counter.unheard == 0
+
+    run(play())
+
+
+def test_patience_doubles_while_no_connection_says_anything():
+    async def play() -> None:
+        opened = []
+
+        async def handle(reader, writer):
+            opened.append(writer)
+            await reader.read()
+
+        async with Play(handle) as p:
+            seen = {p.counter.patience}
+            while len(opened) < 4:
+                p.call(1)
+                await asyncio.sleep(0.02)
+                seen.add(p.counter.patience)
+            assert sorted(seen)[:3] == pytest.approx([0.15, 0.3, 0.6])
+            assert max(seen) <= 1.0
+
+    run(play())
+
+
+def test_slow_answers_keep_their_connection():
+    """Each comes after its time-out, and one after another: the counter is slow, the connection lives."""
+    async def play() -> None:
+        opened = []
+
+        async def handle(reader, writer):
+            opened.append(writer)
+            while await reader.readline():
+                await asyncio.sleep(0.06)
+                writer.write(b"ok 1\r\n")
+
+        async with Play(handle) as p:
+            for _ in range(10):
+                p.call(1)
+                await asyncio.sleep(0.06)
+            await p.told(10)
+            assert len(opened) == 1
+
+    run(play())
