--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -131,8 +131,8 @@
         plan, period = self.settings.plans[c.plan], COUNT_PERIOD
         fills = plan.burst / plan.rate if plan.rate else inf
         low = c.level < LOW * c.granted and not c.fails
-        # Guards against a pause that outlives the silence.  Each costs one of the answers that allow it: with a
-        # part of the counter down and another up, the lost part would be asked as often as if it answered.
+        # Guards against a pause that outlives the silence.  Each costs one of the answers that allow it:
+        # with a part of the counter down and another up, the lost part would be asked as if it answered.
         if c.fails and now < c.count_at and self.answers >= SILENT_CALLS:
             c.count_at, self.answers = now, self.answers - 1
         if now < (min(c.count_at, c.total_at + max(READ_LEAST, LOW_PART * fills)) if low else c.count_at):
