--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -40,6 +40,7 @@
 NEAR_TIE, CANDIDATES = 1.15, 16  # how much better another zone must be; an own part of a large fleet
 HERD, SEES = 0.2, 4.0   # least random part of a wait; ingresses up to which own work out tells most of it
 PROBES, PROBE_WAIT = 2, 0.05  # backends probed for a try by those who see little, and s that it waits
+PROBE_WORTH = 0.02  # of the result: what one probe a try brings at most; a dearer one is left
 REPORT_HALF = 1.0   # s for a report to count half
 RETRY_SHARE, RETRY_BURST, PAUSE_FULL = 0.1, 10.0, 0.03  # further attempts a first one, saved up; s if full
 FORGET, SWEEP = 15.0, 2  # s after which an idle customer is forgotten, and how many are looked at a try
@@ -79,7 +80,8 @@
         self.asking, self.usual_held = 1.0, 0.0  # share of sparse tries that ask; requests a backend reports
         self.odds = [[1.0, 0.3] for _ in settings.plans]  # that a first sparse try, and a repeat, has room
         self.blind = HERD + (1.0 - HERD) * max(0.0, 1.0 - SEES / settings.ingresses)  # to others' work
-        self.probes = settings.may_probe and settings.report_via != "none" and self.blind > 0.5
+        self.probes = (settings.may_probe and settings.report_via != "none" and self.blind > 0.5
+                       and settings.probe_price <= PROBE_WORTH)
         self.on = {api.Request: self._admit, api.Outcome: self._outcome, api.Roster: self._roster,
                    api.ProbeResult: self._probed, api.TimerDue: self._timer, api.CounterReply: self._counted,
                    api.ClientGone: lambda event, now: self.line.end(event.request)}
--- a/fennelpoint/interface.py
+++ b/fennelpoint/interface.py
@@ -116,6 +116,7 @@
     trued_up: bool = False
     most_units: float = 0.0
     may_probe: bool = False
+    probe_price: float = 0.0    # taken off the site's result at one probe a first try
     may_message: bool = False
     may_cancel: bool = False
     may_copy: bool = False
