Thinly spread quotas kept as stores on the counter; discovery asked out of step

Seen, counted over all 40 ingresses: a basic customer comes through 20 to 40 of them, each sees it once in 5 to 30 s. Ruled out: probes, backends (refused by the counter's word or at once). At fault: control.py, _answered: a window that opened at a call and counted refused asks; amounts scaled for the unasked; odds by plan. Dear customers at 4 to 12 ingresses: an even share of the ceiling under one request. Change: tally.py keeps the store itself as one number (epochs, what ran over, refused units taken back), each try asks it where an even share is thin in a large fleet, the dear ones first when the counter is crowded; soft plans that cost nothing beyond are not asked about; what the counter let in is under the ceiling.

Checked: a call that waits in line over 2 s fails and takes its time all the same; watches that go on cost none. Ruled out: the length of watches. At fault: discovery.py, start and _failed: all call in step, two calls each, again within a second. Change: where asking costs, one watch from the known version at a random time of 0.2 s an ingress; after a refusal at that spread, doubling.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -7,13 +7,26 @@
 
 from __future__ import annotations
 
+from collections import deque
 from math import inf
 from random import Random
 
 from fennelpoint import interface as api
 from fennelpoint.choice import cold_odds, cold_share
-from fennelpoint.state import Backend, Customer, Cut, Try
-from fennelpoint.upkeep import Fleet, Line, Sums, Timers, fill, forget, new_total, same_group, settled
+from fennelpoint.state import Ask, Backend, Customer, Cut, Try
+from fennelpoint.tally import EPOCH, LIFE, NEW, level_of, name_of, owed
+from fennelpoint.upkeep import (
+    LEAST_UNITS,
+    Fleet,
+    Line,
+    Sums,
+    Timers,
+    fill,
+    forget,
+    new_total,
+    same_group,
+    settled,
+)
 
 PERIOD, COUNT_PERIOD = 0.5, 1.0  # s; short against bursts of seconds; a counter call has a price
 STEPS, STEP = 3, 0.05   # m, and the share of the rate sent that one constant step takes off
@@ -30,8 +43,9 @@
 KEEP = 0.6  # of a bucket, left to dear tries
 LOW, KEPT = 0.5, 0.35  # of what a read granted: read anew below; of the even part of a burst, kept at a read
 SPARED = 1 << 40    # over all keys; a key and this is the counter's name for what was asked and not taken
-ASKED_HALF, SPARSE = 2.0, 10.0  # s: asks count half in a share; to fill one request: past it each try asks
-WINDOW, CROWDED = 1.0, 0.3  # burst spans that its asks are counted over; of the time-out: stood in line
+ASKED_HALF = 2.0        # s: asks count half in a share
+SPARSE, ASK_EACH = 10.0, 1.5  # s in which an even share fills one request, past which each try asks; of many
+EVEN, CROWDED = 0.5, 0.6  # odds under which a try reads first; of the time-out: it stood in line
 ASK_GAIN, ASK_EASE, ASK_LOSS, LEAST_ASKING = 0.05, 0.9, 0.6, 0.1  # asking share: quick, crowded, none; least
 FIRST_GUESS, FASTER, SLOWER, LEARN = 0.12, 0.1, 0.03, 0.2  # of the aim: a first latency; an answer's weights
 FAILED, SLOWEST, SLOW_HALF = 4.0, 6.0, 1.0  # a failure looks so much slower, at most; s to fade by half
@@ -78,7 +92,9 @@
         self.retries, self.cut, self.pressed = RETRY_BURST, None, False
         self.answers, self.silent_at = 0, -inf  # in a row, below 0 calls lost; when several were
         self.asking, self.usual_held = 1.0, 0.0  # share of sparse tries that ask; requests a backend reports
-        self.odds = [[1.0, 0.3] for _ in settings.plans]  # that a first sparse try, and a repeat, has room
+        self.asks: dict[int, deque[Ask]] = {}  # calls about stores that are out, by name, in their order
+        self.odds = [[EVEN] * len(settings.classes) for _ in settings.plans]  # that a try finds room
+        self.usual_worth = 1.0  # of a try
         self.blind = HERD + (1.0 - HERD) * max(0.0, 1.0 - SEES / settings.ingresses)  # to others' work
         self.probes = (settings.may_probe and settings.report_via != "none" and self.blind > 0.5
                        and settings.probe_price <= PROBE_WORTH)
@@ -104,8 +120,8 @@
             c = Customer(ask.customer, ask.plan, width, 1.0 / width, max(plan.burst / width, ask.units),
                          store=plan.burst, filled=now, total_at=now,
                          count_at=now + self.random.uniform(0.3, 1.0) * COUNT_PERIOD)
-            if self.settings.has_counter and 0.0 < plan.rate * SPARSE < self.settings.most_units * width:
-                c.window = min(FORGET_COUNT, WINDOW * plan.burst / plan.rate)
+            least = ASK_EACH if self.blind > 0.5 else SPARSE
+            c.asks = self.settings.has_counter and 0.0 < plan.rate * least < self.settings.most_units * width
         self.customers[ask.customer], c.seen = c, now
         forget(self.customers, SWEEP, now - FORGET)
         return c
@@ -151,10 +167,12 @@
 
     def _counted(self, reply: api.CounterReply, now: float) -> None:
         ok = reply.status is api.Status.OK and 0.0 <= reply.total < inf
+        if reply.name in self.asks:
+            return self._answered(reply, ok, now)
         if reply.name >= SPARED:
             return self._spared(reply, ok)
-        if (c := self.customers.get(reply.name)) is None or c.asking:
-            return self._answered(c, reply, ok, now) if c else None
+        if (c := self.customers.get(reply.name)) is None:
+            return
         added, c.calling, c.fails = c.calling or 0.0, None, 0 if ok else c.fails + 1
         self.answers = max(0, self.answers) + 1 if ok else min(0, self.answers) - 1
         self.silent_at = now if self.answers <= -SILENT_CALLS else self.silent_at
@@ -211,29 +229,58 @@
         return max(c.store * c.share, c.store - OTHERS * (c.alls - c.ours) / c.spans * span)
 
     def _ask_counter(self, t: Try, now: float) -> None:
-        """A sparse customer's try waits for the total of its own call; a counter in trouble is asked less."""
-        plan = self.settings.plans[t.ask.plan]
-        spare = t.ask.is_repeat or plan.over_cost <= 0.0  # needs the answer less
-        if self.random.random() < (max(0.0, 2.0 * self.asking - 1.0) if spare else self.asking):
-            t.customer.asking.append((t, amount := t.ask.units / self.asking))  # for those unasked too
-            self.out.append(api.Count(t.customer.key, amount, t.customer.window))
-            t.not_before = now + 2 * self.settings.counter_timeout  # should the answer never come
+        """A try of a customer that few come from here waits for its store's word; in trouble fewer ask."""
+        c, units, plan = t.customer, t.ask.units, self.settings.plans[t.ask.plan]
+        part = self.asking * t.worth * units / self.usual_worth  # the dear ones first
+        self.usual_worth += LEARN / 4 * (t.worth * units - self.usual_worth)
+        if plan.over_worth > 0.0 >= plan.over_cost and not self.pressed:  # let in whatever the answer
+            t.inside = True
+        elif c.left + plan.rate * (now - c.left_at) < units:  # whatever the others do
+            t.inside = False
+        elif self.asking >= 1.0 or self.random.random() < part:
+            own = units if c.odds >= EVEN else 0.0  # likely short: it only reads, and takes if there is room
+            self._tell(c, own + c.untold, now, t, own)
+            c.untold, t.not_before = 0.0, now + 2 * self.settings.counter_timeout  # no answer may come
             return self._hold(t, now)
-        odds = self.odds[t.ask.plan][t.ask.is_repeat]  # unasked: by what the others of its plan were told
-        t.inside = False if odds < (1.0 - odds) * plan.over_cost else None
+        else:  # unasked: by what the others were told
+            odds = min(c.odds, self.odds[t.ask.plan][t.ask.cls])
+            t.inside = None if odds >= (1.0 - odds) * plan.over_cost else False
         self._enter(t, now)
 
-    def _answered(self, c: Customer, reply: api.CounterReply, ok: bool, now: float) -> None:
-        """Let a sparse customer's try in if the window had room when it was asked; soft plans may go on."""
-        t, amount = c.asking.pop(0)
+    def _tell(self, c: Customer, amount: float, now: float, t: Try | None = None, own: float = 0.0,
+              last: bool = False) -> None:
+        name, start = name_of(c.key, now)
+        self.asks.setdefault(name, deque()).append(Ask(c, amount, start, t, own, last))
+        self.out.append(api.Count(name, amount, LIFE))
+
+    def _answered(self, reply: api.CounterReply, ok: bool, now: float) -> None:
+        """Let a try in if its customer's store holds its units; soft plans may go on without."""
+        ask = self.asks[reply.name].popleft()
+        if not self.asks[reply.name]:
+            del self.asks[reply.name]
         quick = ok and reply.latency <= CROWDED * self.settings.counter_timeout
         asking = self.asking + ASK_GAIN if quick else self.asking * (ASK_EASE if ok else ASK_LOSS)
         self.asking = min(1.0, max(LEAST_ASKING, asking))
-        t.inside = reply.total - amount < self.settings.plans[c.plan].rate * c.window if ok else None
-        if ok:
-            self.odds[c.plan][t.ask.is_repeat] += LEARN / 2 * (t.inside - self.odds[c.plan][t.ask.is_repeat])
-        c.level = 0.0 if t.inside is False else c.level  # to go by while the counter is silent
-        if self.line.release(t):
+        c, t, plan = ask.customer, ask.t, self.settings.plans[ask.customer.plan]
+        if not ok:  # it may have been added
+            c.untold += ask.amount - ask.own if reply.status is not api.Status.TIMEOUT else 0.0
+        elif ask.last:
+            if (debt := owed(plan, now - ask.start, reply.total)) > LEAST_UNITS:
+                self._tell(c, debt, now)
+        elif t is not None:
+            before = reply.total - ask.own
+            level, missing = level_of(plan, now - ask.start, before, self.random.random())
+            if before <= NEW:   # guards against a burst on top at each turn of an epoch
+                self._tell(c, 0.0, now - EPOCH, last=True)
+            t.inside = t.told = level >= t.ask.units
+            took = t.ask.units if t.inside else 0.0
+            c.left, c.left_at, c.short_at = level - took, now, c.short_at if t.inside else now
+            if abs(missing := missing + took - ask.own) > LEAST_UNITS:
+                self._tell(c, missing, now)
+            c.odds += LEARN * (t.inside - c.odds)
+            self.odds[c.plan][t.ask.cls] += LEARN / 2 * (t.inside - self.odds[c.plan][t.ask.cls])
+            c.level = 0.0 if not t.inside else c.level  # to go by while the counter is silent
+        if t is not None and self.line.release(t):
             t.not_before = now
             self._enter(t, now)
 
@@ -246,7 +293,7 @@
         if t.worth >= c.top or now - c.top_at > SHORT_FOR:
             c.top, c.top_at = t.worth, now
         self._fill(c, now)
-        if c.window:
+        if c.asks:
             return self._ask_counter(t, now)
         self._enter(t, now)
         self._count(c, now)
@@ -262,17 +309,21 @@
         need = ask.units + ahead  # and the s until the bucket holds its units and those that wait before it
         rate = plan.rate * max(c.share, 0.01) if t.inside is None and plan.rate else inf
         wait = (need + self._kept(t, now) - c.level) / rate
-        wait = max(wait, (need - c.ceiling) * c.width / plan.ceiling_rate) if plan.ceiling_rate else wait
+        if plan.ceiling_rate and not t.told:
+            wait = max(wait, (need - c.ceiling) * c.width / plan.ceiling_rate)
         late = t.inside is False or now + max(0.0, wait) + LATE_MARGIN * self.usual[ask.cls] > t.aim_at
-        self._refuse(t, now, max(wait, c.window / 2)) if late else self._hold(t, now)
+        if t.inside is False and plan.rate:
+            wait = max(wait, (ask.units - min(c.left, ask.units / 2)) / plan.rate)
+        self._refuse(t, now, wait) if late else self._hold(t, now)
 
     def _place(self, t: Try, now: float) -> bool:
         """Send the try now if its quota, its cut and a backend allow it."""
         c, units, plan, inside = t.customer, t.ask.units, self.settings.plans[t.ask.plan], True
         if not t.charged:
             self._fill(c, now)
-            if (plan.ceiling_rate and c.ceiling < units) or (c.cap is not None and c.cap_level < min(
-                    units, max(c.cap, self.settings.most_units))):
+            if plan.ceiling_rate and not t.told and c.ceiling < units:
+                return False
+            if c.cap is not None and c.cap_level < min(units, max(c.cap, self.settings.most_units)):
                 return False
             room = not plan.rate or (c.level >= units + self._kept(t, now) if t.inside is None else t.inside)
             inside = room and not (plan.open_limit and c.open >= max(1, round(plan.open_limit * c.share)))
@@ -283,10 +334,12 @@
         if full or (b := self._choose(t, now)) is None:
             return False
         if not t.charged:
-            c.ceiling, c.cap_level, c.sent = c.ceiling - units, c.cap_level - units, c.sent + units
+            c.ceiling -= units * (not t.told)
+            c.cap_level, c.sent = c.cap_level - units, c.sent + units
             c.level -= min(c.level, units) if inside and plan.rate else 0.0
             c.fresh, c.own = c.fresh + units * inside, c.own + units * inside
             c.spared += units * (not inside)
+            c.untold += units * (c.asks and inside and not t.told)
             self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
         self.line.release(t)
         t.charged, t.picked, t.attempts, work = True, None, t.attempts + 1, self.typical[t.ask.cls]
@@ -348,6 +401,8 @@
         harmless = self._allowed(t, now) and (t.ran_at is None or cls.effect is api.Effect.SAFE
                                               or cls.group is api.Group.ALL)
         t.customer.spared += t.ask.units * (not t.charged)
+        if t.told and not t.charged:
+            self._tell(t.customer, -t.ask.units, now)
         advice = min(self.settings.max_advice, wait) if self.settings.may_advise else 0.0
         self.out.append(api.Refuse(t.ask.request, advice) if harmless else api.Fail(t.ask.request))
         self.line.end(t.ask.request)
--- a/fennelpoint/net/discovery.py
+++ b/fennelpoint/net/discovery.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import math
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -17,8 +18,11 @@
 from fennelpoint.net.notice import complain
 
 HOLD = 2.0              # s that a watch may wait: short, so that a dead connection is noticed soon
-SLACK = 1.0             # s over that until the answer is given up; for one that needn't wait, all there is
+HOLD_ASKED = 20.0       # s where each watch may cost the service a call
+SLACK = 1.0             # s over that until the answer is given up
+LINE_WAIT = 2.5         # s for a whole list, which may stand in line: giving up wastes its turn
 BACKOFF, BACKOFF_MOST = 0.1, 1.0  # s before asking again after a failure, doubling up to
+TURNED_EACH, TURNED_MOST = 0.2, 20.0  # s an ingress of the fleet that all ask again in, once it is overbooked
 MOST_LIST = 8 * 1024 * 1024  # bytes of a list
 STATES = {"up": api.BackendState.READY, "draining": api.BackendState.DRAINING,
           "removed": api.BackendState.GONE}
@@ -118,7 +122,8 @@
         self.heard: Callable[[int], None] = lambda revision: None   # told of each answer, with news or none
         self.known: dict[str, Address] = {}
         self.revision: int | None = None    # of the last list from discovery itself
-        self.backoff = BACKOFF
+        self.known_revision: int | None = None  # of a list known from before: a watch is one call, not two
+        self.backoff, self.hold = BACKOFF, HOLD
         self.stopped = False
         self.transport: asyncio.Transport | None = None
         self.connecting: asyncio.Task | None = None
@@ -128,7 +133,20 @@
         self.complete = self.keep = False
 
     def start(self) -> None:
-        self._ask()
+        """Ask at once; where asking costs and a list is known, at a time of our own, for what is newer.
+
+        Guards discovery against a fleet that comes back at once: calls that all arrive together wait past
+        their time, fail, and have taken the service's time all the same.
+        """
+        if self.settings.discovery == "ask" and self.known_revision is not None:
+            self.revision, self.hold = self.known_revision, HOLD_ASKED
+            self.timer = self.loop.call_later(random.uniform(0.0, self._spread()), self._ask)
+        else:
+            self._ask()
+
+    def _spread(self) -> float:
+        """Seconds over which all ingresses' calls are spread, so that a small service can answer each."""
+        return min(TURNED_MOST, TURNED_EACH * self.settings.ingresses)
 
     def stop(self) -> None:
         self.stopped = True
@@ -138,6 +156,8 @@
         """Keep to a list, and tell of it."""
         if listing.roster.kind is not api.RosterKind.CHANGES:
             self.known = {}
+        if listing.roster.kind is api.RosterKind.CACHED:
+            self.known_revision = listing.roster.version
         for entry in listing.roster.entries:
             self.known.pop(entry.backend, None)
         self.known.update(listing.addresses)
@@ -161,8 +181,8 @@
             return
         if self.timer is not None:
             self.timer.cancel()
-        wait = HOLD if self.revision is not None else 0.0
-        self.timer = self.loop.call_later(wait + SLACK, self._failed, "does not answer")
+        wait = self.hold + SLACK if self.revision is not None else LINE_WAIT
+        self.timer = self.loop.call_later(wait, self._failed, "does not answer")
         if self.transport is None:
             task = self.connecting = self.loop.create_task(
                 self.loop.create_connection(lambda: self, *self.address))
@@ -170,7 +190,7 @@
             return
         self.body, self.size, self.complete = [], 0, False
         self.parser = httptools.HttpResponseParser(self)
-        query = f"?from={self.revision}&hold_ms={HOLD * 1000:.0f}" if self.revision is not None else ""
+        query = f"?from={self.revision}&hold_ms={self.hold * 1000:.0f}" if self.revision is not None else ""
         self.transport.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
 
     def _connected(self, task: asyncio.Task) -> None:
@@ -180,14 +200,21 @@
         if (error := task.exception()) is not None:
             self._failed(f"can't be reached ({error})")
 
-    def _failed(self, what: str) -> None:
-        """Keep the list that there is and ask again a little later."""
+    def _failed(self, what: str, turned_away: bool = False) -> None:
+        """Keep the list that there is and ask again a little later.
+
+        Guards discovery against the fleet: what it turns away costs it something too, so ingresses that all
+        ask again within a second keep it overbooked, and most of them never hear of a change.
+        """
         if self.stopped:
             return
         complain("discovery", "%s", what)
         self._drop()
-        self.timer = self.loop.call_later(self.backoff, self._ask)
-        self.backoff = min(BACKOFF_MOST, 2 * self.backoff)
+        if turned_away:
+            self.backoff = max(self.backoff, self._spread())
+            self.revision = self.revision if self.revision is not None else self.known_revision
+        self.timer = self.loop.call_later(self.backoff * random.uniform(0.3, 1.0), self._ask)
+        self.backoff = min(TURNED_MOST if turned_away else BACKOFF_MOST, 2 * self.backoff)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.connecting, self.transport = None, transport
@@ -215,7 +242,7 @@
     def _answered(self) -> None:
         status = self.parser.get_status_code()
         if status != 200:
-            return self._failed(f"answers {status}")
+            return self._failed(f"answers {status}", turned_away=status in (429, 503))
         try:
             listing = parse_list(json.loads(b"".join(self.body)), self.settings, self.known)
         except (ValueError, RecursionError) as error:
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -44,8 +44,11 @@
     count_at: float         # when the counter may be called next
     seen: float = 0.0
     total: float | None = None
-    window: float = 0.0     # s that a sparse customer's asks are counted over; 0: it is not sparse
-    asking: list[tuple[Try, float]] = field(default_factory=list)  # tries whose call is out, and its amount
+    asks: bool = False      # whether each of its tries asks the counter for its store
+    left: float = inf       # units in that store after the last answer
+    left_at: float = 0.0    # when that was
+    odds: float = 1.0       # that a try finds room there
+    untold: float = 0.0     # taken from it without the counter's knowledge
     fails: int = 0          # calls in a row without an answer
     fresh: float = 0.0      # taken from the quota since the last call
     own: float = 0.0        # taken since the last total
@@ -89,6 +92,7 @@
     reached: bool = False           # an attempt came to a backend
     charged: bool = False           # its units were taken
     inside: bool | None = None      # the quota, by the answer of its own counter call
+    told: bool = False              # the counter knows that it took its units
     ran_at: float | None = None     # send time of the first attempt that may have run
     ran_on: BackendEntry | None = None
     not_before: float = 0.0
@@ -107,3 +111,15 @@
     lucky: set[int]
     predicted: float
     steps: int = 0
+
+
+@dataclass(slots=True)
+class Ask:
+    """A call about a customer's store that is out; it may only tell."""
+
+    customer: Customer
+    amount: float
+    start: float            # of the epoch
+    t: Try | None = None    # the try that waits for it
+    own: float = 0.0        # of the amount, the try's own units
+    last: bool = False      # about the epoch before this one
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -134,3 +134,56 @@
             assert (await ask(made, request()))[2] == b"yes"
 
     run(play())
+
+
+class Later:
+    """A loop that only notes what is to be called, and when."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[float, object]] = []
+
+    def call_later(self, delay: float, call, *args):
+        self.calls.append((delay, call))
+        return self
+
+    def cancel(self) -> None:
+        self.calls.pop()
+
+
+def asking(ingresses: int, mode: str = "ask") -> Discovery:
+    settings = from_json(SETTINGS | {"balancers": ingresses, "discovery": mode})
+    made = Discovery(Later(), ("127.0.0.1", 80), settings, lambda roster, addresses: None)
+    known = parse_list(listing(member("a", ADDRESS), revision=41), settings)
+    known.roster.kind = RosterKind.CACHED
+    made.take(known)
+    return made
+
+
+def test_fleet_that_comes_back_at_once_does_not_call_discovery_in_step():
+    """40 calls at one time waited past their time and failed; the service's time was gone all the same."""
+    delays = []
+    for _ in range(200):
+        made = asking(40)
+        made.start()
+        ((delay, call),) = made.loop.calls
+        assert call == made._ask and made.revision == 41    # one call for what is newer, not two
+        delays.append(delay)
+    counts = [sum(i <= delay < i + 1 for delay in delays) for i in range(8)]
+    assert min(counts) >= 10 and max(counts) <= 45 and max(delays) <= 8.0
+
+
+@pytest.mark.parametrize("ingresses, least, most", [(40, 2.4, 8.0), (3, 0.18, 0.6), (400, 6.0, 20.0)])
+def test_call_that_is_turned_away_is_made_again_at_a_rate_that_falls_with_the_fleet(ingresses, least, most):
+    made = asking(ingresses, "push")
+    for round in range(3):
+        made._failed("answers 503", turned_away=True)
+        ((delay, _),) = made.loop.calls
+        assert least <= delay <= min(20.0, most * 2 ** round)
+        made.loop.calls.clear()
+        made.timer = None
+
+
+def test_discovery_that_is_silent_is_asked_again_soon():
+    made = asking(40, "push")
+    made._failed("does not answer")
+    assert 0.0 < made.loop.calls[0][0] <= 0.1
