Control service keeps its caution for cold backends: proxies hold nothing back

Seen: test_cold_backend_has_the_weight_of_its_share, in the whole run of the checks. At fault: choice.cold_odds, shared by the Controller and the control service, had gone from the power 1.5 to 1 for both; what was measured was the ingress, whose window of attempts holds it back. Change: the power is the caller's; weights of proxies keep 1.5.

--- a/fennelpoint/choice.py
+++ b/fennelpoint/choice.py
@@ -4,7 +4,7 @@
 
 from fennelpoint import interface as api
 
-COLD_CAUTION = 1.0  # power of a cold share that wins a draw
+COLD_CAUTION, PROXY_CAUTION = 1.0, 1.5  # power of a cold share that wins a draw; where nothing holds back
 
 
 def cold_share(entry: api.BackendEntry, settings: api.Settings, now: float) -> float:
@@ -15,6 +15,9 @@
     return settings.cold_share + (1.0 - settings.cold_share) * max(0.0, now - entry.started_at) / span
 
 
-def cold_odds(share: float) -> float:
-    """How often a backend of this share is sent work that is its by weight: as seldom as it is cold."""
-    return share ** COLD_CAUTION
+def cold_odds(share: float, caution: float = COLD_CAUTION) -> float:
+    """How often a backend of this share is sent work that is its by weight: as seldom as it is cold.
+
+    An ingress holds its attempts back when they come late; proxies go by weights alone.
+    """
+    return share ** caution
--- a/fennelpoint/xds/resources.py
+++ b/fennelpoint/xds/resources.py
@@ -16,7 +16,7 @@
 from envoy.extensions.filters.network.http_connection_manager.v3 import http_connection_manager_pb2
 
 from fennelpoint import interface as api
-from fennelpoint.choice import cold_odds, cold_share
+from fennelpoint.choice import PROXY_CAUTION, cold_odds, cold_share
 from fennelpoint.routes.table import RouteTable
 from fennelpoint.xds.limits import Limits
 from fennelpoint.xds.membership import Address
@@ -99,7 +99,7 @@
             step = max(1, int(share * COLD_STEPS)) / COLD_STEPS     # downwards: never more than its share
             locality = made.endpoints.add()
             locality.locality.zone, locality.locality.sub_zone = zone, f"cold-{entry.backend}"
-            locality.load_balancing_weight.value = max(1, int(own * cold_odds(step)))
+            locality.load_balancing_weight.value = max(1, int(own * cold_odds(step, PROXY_CAUTION)))
         endpoint = locality.lb_endpoints.add()
         endpoint.endpoint.address.socket_address.address = host
         endpoint.endpoint.address.socket_address.port_value = port
