--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -138,6 +138,20 @@
         assert sum(amounts) == pytest.approx(ran_over, abs=0.01)
 
 
+def test_counts_lost_in_the_middle_of_an_epoch_give_no_new_burst_to_who_knew_them():
+    node, now = Controller(make_settings(ingresses=INGRESSES), seed=1, now=100.0), 100.0
+    start = name_of(1, now)[1]
+    sent = []
+    for number, left in ((1, 2.0), (2, None)):      # two of a store of 8 are left, then forgotten
+        actions = node.handle(api.Request(number, 0, HARD, 1, 4.0, 1.0, 25.0, 0.0), now)
+        (call,) = [a for a in actions if isinstance(a, api.Count)]
+        total = 8.0 + 4.0 * (now - start) - left + call.amount if left else call.amount
+        node.handle(api.CounterReply(call.name, api.Status.OK, total, 0.002), now)
+        sent.append(node.customers[1].left)
+        now += 0.01
+    assert sent == [pytest.approx(1.0), pytest.approx(0.04)]
+
+
 def test_read_marks_a_new_name_so_that_only_one_reader_puts_it_right():
     node = Controller(make_settings(ingresses=INGRESSES), seed=1, now=100.0)
     node.handle(api.Request(1, 0, HARD, 1, 4.0, 1.0, 25.0, 0.0), 100.0)
