Life-cycle machine, operators' door, drains, and the clients' socket inherited

The new process of an upgrade exited with 1 (its bind is refused beside the old one's; Ingress.start always bound its own), and nothing listened at the operators' door, so /ready said yes 4 s after the call.

Changed: lifecycle.py (pure; flags on server and host are gone), net/door.py, drains that close idle connections only when the kernel holds nothing unread, the listening socket taken from BALANCER_SOCKET_FD. Found by the test: requests taken with one whose answer said close were dropped (server._write cleared what waited), also on SIGTERM: they are answered first now.

--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -8,7 +8,9 @@
 import logging
 import os
 import signal
+import socket
 import sys
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -16,6 +18,7 @@
 
 from fennelpoint import interface as api
 from fennelpoint.faults import FaultyFile
+from fennelpoint.lifecycle import Event, LifeCycle, Step
 from fennelpoint.net.backends import Backends
 from fennelpoint.net.counter import Counter
 from fennelpoint.net.discovery import Address, Discovery, Listing, parse_address, parse_list
@@ -30,8 +33,7 @@
 
 SWEEP = 0.25            # s between looks at idle connections
 LIST_WAIT = 1.0         # s for discovery to answer before the list known from before will do
-ACCEPT_ON = 0.5         # s that connections are still taken after SIGTERM: the front learns late
-STOP_WITHIN = 3.4       # s after SIGTERM by which all is answered and the process gone
+LOOK = 0.05             # s between looks at what a drain or an end has left to do
 SOCKETS = 1024          # descriptors, where the configuration tells no limit
 RESERVED = 32           # of them for files, the loop, discovery, the counter and the listener
 GC_THRESHOLDS = (10_000, 20, 50)  # nearly all is freed by count: cycles are looked for more rarely
@@ -54,6 +56,8 @@
     known: Listing | None
     operator: Operator | None = None    # what the operator file says; none: there is no such file
     read: End | None = None     # the description that the operator file names, as it was read
+    door: Address | None = None     # where operators call; none: there is no door
+    inherited: socket.socket | None = None  # the clients' listening socket, where the platform holds it
 
 
 def read_config(path: str) -> Config:
@@ -75,11 +79,13 @@
         if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 2 * RESERVED:
             raise ConfigError(f"configuration: limits.sockets: {sockets!r} is not {2 * RESERVED} or more")
         known = value.get("known")
+        door = value.get("operator") or os.environ.get("BALANCER_OPERATOR")
         return Config(str(value.get("name", "")), parse_address(value.get("listen"), "listen"),
                       parse_address(value.get("discovery"), "discovery"),
                       parse_address(counter, "counter") if counter is not None else None,
                       read_seed(value.get("seed")), sockets, settings,
-                      parse_list(known, settings, where="known") if known is not None else None)
+                      parse_list(known, settings, where="known") if known is not None else None,
+                      door=parse_address(door, "operator") if door is not None else None)
     except ValueError as error:
         raise ConfigError(f"configuration: {error}") from None
 
@@ -91,6 +97,24 @@
         raise ConfigError(f"configuration: seed: {value!r} is not a hexadecimal number") from None
 
 
+def inherit(number: str, listen: Address) -> socket.socket:
+    """The clients' listening socket that the platform holds; one that is not that is refused."""
+    where = f"BALANCER_SOCKET_FD: {number!r}"
+    if not (number.isascii() and number.isdigit() and len(number) < 8):
+        raise ConfigError(f"{where} is not the number of a descriptor")
+    try:
+        held = socket.socket(fileno=int(number))
+    except OSError as error:
+        raise ConfigError(f"{where} is no socket: {error.strerror}") from None
+    if held.type != socket.SOCK_STREAM or not held.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        raise ConfigError(f"{where} is no socket that listens")
+    if held.getsockname() != listen:
+        raise ConfigError(f"{where} listens at {held.getsockname()}, and listen names {listen}")
+    held.set_inheritable(False)
+    held.setblocking(False)
+    return held
+
+
 def add_operator(config: Config, path: str) -> None:
     """Read and check the operator file, and what it names, before any traffic."""
     from fennelpoint.operator import read_operator
@@ -121,9 +145,9 @@
         self.discovery = Discovery(loop, config.discovery, settings, self.follow)
         self.coming: Discovery | None = None    # a new discovery that has not told its list yet
         self.follower = None    # of a description, where the operator file names one
-        self.server = Server(loop, self.host, room - upstream, self._reader())
-        self.stopping_since: float | None = None
-        self.beat = self._beat()
+        self.life, self.looking = LifeCycle(time.monotonic()), False
+        self.server = Server(loop, self.host, room - upstream, self.life, self._reader())
+        self.beat, self.door = self._beat(), self._door()
 
     def _beat(self):
         """The word to the announcer, where the operator file has one; its part is loaded only then."""
@@ -135,9 +159,20 @@
 
     def _word(self) -> tuple[str, bool]:
         """How it stands, and whether the counter that quotas are kept by is heard."""
-        state = "draining" if self.stopping_since is not None else "up" if self.host.ready else "starting"
+        state = "up" if self.life.ready else "starting" if self.life.keeps else "draining"
         return state, self.counter is None or self.counter.answers
 
+    def _door(self):
+        """The operators' door, where there is one; its part is loaded only then."""
+        if self.config.door is None:
+            return None
+        from fennelpoint.net.door import Door
+
+        return Door(self.loop, self.life, self.config.name, self.look, self._stand)
+
+    def _stand(self) -> str:
+        return f": {len(self.server.connections)} connections, {self.host.waiting} requests open"
+
     def _reader(self) -> Reader | None:
         """Reads requests by the description, where there is one; its part is loaded only then."""
         if self.config.operator is None or (routes := self.config.operator.routes) is None:
@@ -154,7 +189,9 @@
         if (known := self.config.known) is not None:
             known.roster.kind = api.RosterKind.CACHED
             self.discovery.take(known)
-        await self.server.listen(self.config.listen)
+        await self.server.listen(self.config.inherited or self.config.listen)
+        if self.door is not None:
+            await self.door.listen(self.config.door)
         self.discovery.start()
         if self.follower is not None:
             self.follower.start()
@@ -173,7 +210,7 @@
 
         A file that can't be used changes nothing.  It may come again at any time.
         """
-        if self.stopping_since is not None:
+        if self.life.ending:
             return
         self._reload_routes()
         try:
@@ -215,8 +252,8 @@
         self.follow(roster, addresses)
 
     def _set_ready(self) -> None:
-        if not self.host.ready:
-            self.host.ready = True
+        if not self.life.listed:
+            self.life.handle(Event.LISTED, time.monotonic())
             log.info("%s is ready", self.config.name)
 
     def _go_by_known(self) -> None:
@@ -233,23 +270,32 @@
 
     def stop(self) -> None:
         """SIGTERM: not ready from now on; take what still comes for a moment, then finish."""
-        if self.stopping_since is not None:
+        if self.life.ending:
             return
         log.info("%s stops", self.config.name)
-        self.stopping_since, self.server.draining = self.loop.time(), True
-        self.loop.call_later(ACCEPT_ON, self._finish)
-
-    def _finish(self) -> None:
-        self.server.stop_listening()
-        self.server.close_idle()
-        late = self.loop.time() - self.stopping_since > STOP_WITHIN
-        if late:
+        relieved = self.config.inherited is not None    # the socket outlives us: nothing is refused meanwhile
+        self.life.handle(Event.RELIEVED if relieved else Event.TERM, time.monotonic())
+        self.look()
+
+    def look(self) -> None:
+        """Carry out what the life-cycle finds due, and come again while it isn't simply serving."""
+        if not self.looking:
+            self._look()
+
+    def _look(self) -> None:
+        steps = self.life.look(time.monotonic(), len(self.server.connections), self.host.waiting)
+        if Step.STOP_ACCEPTING in steps:
+            self.server.stop_listening()
+        if Step.CLOSE_IDLE in steps:
+            self.server.close_idle()
+        if Step.FAIL_OPEN in steps:
             self.host.fail_all()
-        if late or not self.server.connections:
+        if Step.EXIT in steps:
             # One turn of the loop more, so that the last answers are written.
-            self.loop.call_later(0.05, self._end)
-        else:
-            self.loop.call_later(0.02, self._finish)
+            self.loop.call_later(LOOK, self._end)
+        self.looking = not self.life.keeps and Step.EXIT not in steps
+        if self.looking:
+            self.loop.call_later(LOOK, self._look)
 
     def _end(self) -> None:
         if not self.stopped.done():
@@ -262,8 +308,9 @@
                 discovery.stop()
         if self.follower is not None:
             self.follower.close()
-        if self.beat is not None:
-            self.beat.close()
+        for part in (self.beat, self.door):
+            if part is not None:
+                part.close()
         self.server.close()
         self.backends.close()
         if self.counter is not None:
@@ -293,6 +340,8 @@
         if not path:
             raise ConfigError("BALANCER_CONFIG names no configuration")
         config = read_config(path)
+        if number := os.environ.get("BALANCER_SOCKET_FD"):
+            config.inherited = inherit(number, config.listen)
         if operator := os.environ.get("LARCHWING_OPERATOR", ""):
             add_operator(config, operator)
     except (ConfigError, FaultyFile) as error:
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -77,7 +77,6 @@
         self.open_ids: set[bytes] = set()   # of the tickets, as the clients named them
         self.waiting = 0        # requests without an answer yet
         self.last_id = 0
-        self.ready = False      # whether there is a list to go by
         self._events: deque[api.Event] = deque()
         self._delivering = False
         self._do: dict[type, Callable] = {
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -9,6 +9,8 @@
 import asyncio
 import math
 import re
+import select
+import socket
 import time
 from collections import deque
 from functools import lru_cache
@@ -17,6 +19,7 @@
 import httptools
 
 from fennelpoint import interface as api
+from fennelpoint.lifecycle import LifeCycle
 from fennelpoint.net.backends import HOP_BY_HOP, Answer
 from fennelpoint.net.host import Asked, Host
 
@@ -30,6 +33,7 @@
 IDLE_TIMEOUT = 5.0      # s that a connection may stand with nothing open
 LINGER = 0.5            # s to read on after an error, so that its answer is not lost with a reset
 MOST_DRAINED = 1024 * 1024  # bytes read and dropped meanwhile
+BACKLOG = 1024          # connections that wait to be accepted
 YOUNG = 0.25            # s that a new connection has to send its request before it may have to make room
 MOST_LEFT_MS = 600_000  # ms; a longer wait is not meant
 MOST_CUSTOMER = 1 << 33
@@ -338,7 +342,7 @@
                 self._write(what.status, what.headers, what.body, self.keep)
                 self.bare = False
             elif isinstance(what, bytes):
-                ready = self.server.ready
+                ready = self.server.life.ready
                 self._write(200 if ready else 503, (), b"ready\n" if ready else b"not ready\n", self.keep)
             elif self.server.host.is_open(what.txn):
                 # Guards against a second copy in another's name: an id is new with every request.
@@ -369,7 +373,8 @@
                 self.server.loop.call_soon(self._next)
 
     def _write(self, status: int, headers, body: bytes, keep: bool) -> None:
-        keep = keep and not self.server.draining
+        # What was taken with it, or has begun to come, is answered before the connection is left.
+        keep = keep and (self.server.life.keeps or bool(self.waiting) or self.in_head or self.in_body)
         lines = [b"HTTP/1.1 %d %b" % (status, REASONS[status])]
         lines += [name + b": " + value for name, value in headers]
         lines.append(b"content-length: %d" % len(body))
@@ -424,25 +429,23 @@
 class Server:
     """The listening socket and its connections."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, host: Host, most: int,
+    def __init__(self, loop: asyncio.AbstractEventLoop, host: Host, most: int, life: LifeCycle,
                  reader: Reader | None = None) -> None:
-        self.loop, self.host, self.most = loop, host, most
+        self.loop, self.host, self.most, self.life = loop, host, most, life
         self.reader = reader or Reader(host.settings)
         self.connections: set[ClientConnection] = set()
         # Those without a request that is open, in three lines, the oldest first; the others stand in none.
         self.coming: dict[ClientConnection, None] = {}   # new, or a request has begun to come
         self.idle: dict[ClientConnection, None] = {}     # answered, and kept
         self.leaving: dict[ClientConnection, None] = {}  # told that they are closed
-        self.draining = False
         self.listener: asyncio.Server | None = None
 
-    @property
-    def ready(self) -> bool:
-        return self.listener is not None and self.host.ready and not self.draining
-
-    async def listen(self, address: tuple[str, int]) -> None:
+    async def listen(self, at: tuple[str, int] | socket.socket) -> None:
+        """At an address of our own, or on a socket that listens already."""
+        where = {"sock": at} if isinstance(at, socket.socket) else {
+            "host": at[0], "port": at[1], "reuse_address": True}
         self.listener = await self.loop.create_server(
-            lambda: ClientConnection(self), *address, backlog=1024, reuse_address=True)
+            lambda: ClientConnection(self), backlog=BACKLOG, **where)
 
     def make_room(self) -> None:
         """Close one connection when there are too many: one that is owed nothing, the oldest of its kind.
@@ -477,7 +480,17 @@
             connection.transport.abort()
 
     def close_idle(self) -> None:
-        for connection in list(self.idle):
-            connection.transport.close()
-        for connection in [c for c in self.coming if not (c.in_head or c.in_body)]:
+        """Close the connections that are owed nothing, but none that has something to be read.
+
+        Guards requests that cross the close: what the kernel holds unread is read in this turn of the loop.
+        One just opened has a moment to send its request.
+        """
+        young, unread = time.monotonic() - YOUNG, select.poll()
+        silent = [c for c in self.coming if not (c.in_head or c.in_body) and c.since < young]
+        connections = {c.transport.get_extra_info("socket").fileno(): c for c in (*self.idle, *silent)}
+        for number in connections:
+            unread.register(number, select.POLLIN)
+        for number, _ in unread.poll(0):
+            del connections[number]
+        for connection in connections.values():
             connection.transport.close()
--- a/fennelpoint/standins/world.py
+++ b/fennelpoint/standins/world.py
@@ -39,9 +39,9 @@
     """An ingress in this process, with its fakes."""
 
     def __init__(self, backends: list[Backend], settings: dict, known: bool, operator: Operator | None = None,
-                 seed: int = 7, count: Count | None = None) -> None:
+                 seed: int = 7, count: Count | None = None, door: bool = False) -> None:
         self.backends, self.settings, self.known, self.seed = backends, settings, known, seed
-        self.operator, self.count = operator, count or Count()
+        self.operator, self.count, self.has_door = operator, count or Count(), door
 
     async def start(self) -> None:
         members = [member(f"s-{i}", await b.start()) for i, b in enumerate(self.backends)]
@@ -51,7 +51,8 @@
         known = {"revision": 1, "complete": True, "members": members}
         config = Config("n0", ("127.0.0.1", 0), parse_address(discovery, "discovery"),
                         parse_address(counter, "counter"), self.seed, 1024, settings,
-                        parse_list(known, settings) if self.known else None, self.operator)
+                        parse_list(known, settings) if self.known else None, self.operator,
+                        door=("127.0.0.1", 0) if self.has_door else None)
         if self.operator is not None and (routes := self.operator.routes) is not None:
             config.read = read_now(routes.description, settings, routes.load_memory_mb, routes.load_timeout_s)
             if config.read.faults:
@@ -59,7 +60,9 @@
         self.ingress = Ingress(asyncio.get_running_loop(), config)
         await self.ingress.start()
         self.address = self.ingress.server.listener.sockets[0].getsockname()
-        await until(lambda: self.ingress.server.ready)
+        if self.has_door:
+            self.door = self.ingress.door.listener.sockets[0].getsockname()
+        await until(lambda: self.ingress.life.ready)
 
     def stop(self) -> None:
         self.ingress.close()
@@ -72,9 +75,9 @@
 
 @asynccontextmanager
 async def world(*backends: Backend, known: bool = False, operator: Operator | None = None,
-                count: Count | None = None, **settings):
+                count: Count | None = None, door: bool = False, **settings):
     """An ingress that is ready, for as long as the block lasts; `settings` replace the usual ones."""
-    made = World(list(backends), settings, known, operator, count=count)
+    made = World(list(backends), settings, known, operator, count=count, door=door)
     await made.start()
     try:
         yield made
