--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -17,6 +17,7 @@
 import uvloop
 
 from fennelpoint import interface as api
+from fennelpoint.bodies import Budget, budget_of
 from fennelpoint.faults import FaultyFile
 from fennelpoint.lifecycle import Event, LifeCycle, Step
 from fennelpoint.net.backends import Backends
@@ -34,7 +35,7 @@
 SWEEP = 0.25            # s between looks at idle connections
 LIST_WAIT = 1.0         # s for discovery to answer before the list known from before will do
 LOOK = 0.05             # s between looks at what a drain or an end has left to do
-SOCKETS = 1024          # descriptors, where the configuration tells no limit
+SOCKETS, MEMORY_MB = 1024, 192  # descriptors and memory, where the configuration tells no limit
 RESERVED = 32           # of them for files, the loop, discovery, the counter and the listener
 GC_THRESHOLDS = (10_000, 20, 50)  # nearly all is freed by count: cycles are looked for more rarely
 UPSTREAM_SHARE = 0.4    # of the rest for upstream connections; the clients get the others
@@ -58,6 +59,7 @@
     read: End | None = None     # the description that the operator file names, as it was read
     door: Address | None = None     # where operators call; none: there is no door
     inherited: socket.socket | None = None  # the clients' listening socket, where the platform holds it
+    memory_mb: float = MEMORY_MB
 
 
 def read_config(path: str) -> Config:
@@ -78,6 +80,9 @@
         sockets = limits.get("sockets", SOCKETS) if isinstance(limits, dict) else None
         if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 2 * RESERVED:
             raise ConfigError(f"configuration: limits.sockets: {sockets!r} is not {2 * RESERVED} or more")
+        memory = limits.get("memory_mb", MEMORY_MB)
+        if isinstance(memory, bool) or not isinstance(memory, int | float) or not 16 <= memory < 1 << 24:
+            raise ConfigError(f"configuration: limits.memory_mb: {memory!r} is not 16 or more")
         known = value.get("known")
         door = value.get("operator") or os.environ.get("BALANCER_OPERATOR")
         return Config(str(value.get("name", "")), parse_address(value.get("listen"), "listen"),
@@ -85,7 +90,8 @@
                       parse_address(counter, "counter") if counter is not None else None,
                       read_seed(value.get("seed")), sockets, settings,
                       parse_list(known, settings, where="known") if known is not None else None,
-                      door=parse_address(door, "operator") if door is not None else None)
+                      door=parse_address(door, "operator") if door is not None else None,
+                      memory_mb=float(memory))
     except ValueError as error:
         raise ConfigError(f"configuration: {error}") from None
 
@@ -138,10 +144,11 @@
         settings, room = config.settings, config.sockets - RESERVED
         upstream = int(room * UPSTREAM_SHARE)
         self.loop, self.config, self.path, self.stopped = loop, config, path, loop.create_future()
-        self.backends = Backends(loop, upstream, settings.connect_timeout, settings.idle_close)
+        self.budget = Budget(budget_of(config.memory_mb))
+        self.backends = Backends(loop, upstream, settings.connect_timeout, settings.idle_close, self.budget)
         self.counter = Counter(loop, *config.counter, settings.counter_timeout) if (
             config.counter is not None and settings.has_counter) else None
-        self.host = Host(loop, settings, config.seed, self.backends, self.counter)
+        self.host = Host(loop, settings, config.seed, self.backends, self.counter, self.budget)
         self.discovery = Discovery(loop, config.discovery, settings, self.follow)
         self.coming: Discovery | None = None    # a new discovery that has not told its list yet
         self.follower = None    # of a description, where the operator file names one
--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -92,7 +92,8 @@
                        and settings.probe_price <= PROBE_WORTH)
         self.on = {api.Request: self._admit, api.Outcome: self._outcome, api.Roster: self._roster,
                    api.ProbeResult: self._probed, api.TimerDue: self._timer, api.CounterReply: self._counted,
-                   api.ClientGone: self._gone}
+                   api.ClientGone: self._gone, api.StreamStarted: self._began, api.Arrived: self._arrived,
+                   api.Spent: self._spent}
 
     def start(self, now: float) -> list[api.Action]:
         return [api.Subscribe()] if self.settings.discovery == "ask" else []
@@ -305,9 +306,10 @@
 
     def _admit(self, ask: api.Request, now: float) -> None:
         c, cls, plan = self._customer(ask, now), self.settings.classes[ask.cls], self.settings.plans[ask.plan]
-        ends = now + ask.time_left - 2 * PUMP - self.settings.tick  # the last answer that is surely in time
-        half = now + ask.time_left / 2 - 2 * PUMP - self.settings.tick
-        t = Try(ask, c, now + min(cls.aim, ask.time_left), ends, cls.worth * plan.price, half)
+        came = now + ask.coming
+        ends = came + ask.time_left - 2 * PUMP - self.settings.tick  # the last answer that is surely in time
+        half = came + ask.time_left / 2 - 2 * PUMP - self.settings.tick
+        t = Try(ask, c, came + min(cls.aim, ask.time_left), ends, cls.worth * plan.price, half, came_at=came)
         self.line.open[ask.request], c.worth = t, max(c.worth, t.worth)
         if t.worth >= c.top or now - c.top_at > SHORT_FOR:
             c.top, c.top_at = t.worth, now
@@ -440,10 +442,46 @@
         keyed = cls.effect is api.Effect.KEYED and t.ran_at is not None and now < t.ran_at + cls.window
         return t.ran_at is None or cls.effect is api.Effect.SAFE or keyed
 
+    def _spent(self, event: api.Spent, now: float) -> None:
+        if (t := self.line.open.get(event.request)) is not None:
+            t.spent = True
+
+    def _arrived(self, event: api.Arrived, now: float) -> None:
+        """A request that came slowly: its times count from its last byte, and a backend begins it there."""
+        if (t := self.line.open.get(event.request)) is None:
+            return
+        later, t.came_at = now - t.came_at, now
+        t.aim_at, t.ends, t.half, t.last = t.aim_at + later, t.ends + later, t.half + later, t.last + later
+        for b in self.fleet.busy.values():
+            if t.ask.request in b.out:
+                work, _, aim, customer = b.out[t.ask.request]
+                b.out[t.ask.request] = (work, now, aim, customer)
+        if t.ask.request in self.line.held:
+            self._hold(t, now)
+
+    def _began(self, event: api.StreamStarted, now: float) -> None:
+        """An answer has begun to go out: the try is the client's from here, and is never sent again."""
+        b, t = self.fleet.known.get(event.backend), self.line.open.get(event.request)
+        if b is not None and event.request in b.out:
+            o = api.Outcome(event.request, event.attempt, event.backend, api.Status.OK, event.latency, False)
+            self.fleet.begin(b, event.request)
+            self._learn(b, o, t, now)
+        if t is not None:
+            aim = self.settings.classes[t.ask.cls].aim
+            t.customer.ratios.append((now - (t.aim_at - aim)) / aim)
+            self._activate(t.customer, now)
+            self.line.end(event.request)
+        self._pump(now)
+
     def _outcome(self, o: api.Outcome, now: float) -> None:
         backend, t = self.fleet.known.get(o.backend), self.line.open.get(o.request)
         if backend is not None and o.request in backend.out:
+            self.fleet.answer(backend, o.request)
             self._learn(backend, o, t, now)
+        elif backend is not None and o.request in backend.begun:
+            self.fleet.answer(backend, o.request)
+            if o.status in (api.Status.RESET, api.Status.ERROR):    # its answer broke
+                self._fail(backend, now)
         if t is not None and (o.status is api.Status.OK or o.ended):
             aim = self.settings.classes[t.ask.cls].aim
             t.customer.ratios.append((now - (t.aim_at - aim)) / aim)
@@ -457,7 +495,7 @@
             t.not_before = now + PAUSE_FULL * t.attempts * (o.status in (api.Status.FULL, api.Status.MOOT))
             again = t.ran_at is not None  # as time, effect and a budget against retry storms allow
             barred = o.status is api.Status.TIMEOUT or self.retries < 1.0 or not self._allowed(t, now)
-            if t.attempts >= self.settings.max_attempts or now >= t.ends or again and barred:
+            if t.attempts >= self.settings.max_attempts or now >= t.ends or t.spent or again and barred:
                 self._refuse(t, now, 0.0)
             else:
                 self.retries -= again
@@ -531,7 +569,6 @@
         b.reported, b.reported_at = held if told else max(b.reported, 2.0 * self.usual_held), now
 
     def _learn(self, b: Backend, o: api.Outcome, t: Try | None, now: float) -> None:
-        self.fleet.answer(b, o.request)
         self._report(b, o.report, now) if o.report else None
         if o.status is api.Status.FULL:
             b.rest_until = now + 2 * PAUSE_FULL
--- a/fennelpoint/interface.py
+++ b/fennelpoint/interface.py
@@ -181,6 +181,21 @@
     first: float
     is_repeat: bool = False
     is_write: bool = False
+    coming: float = 0.0     # s until its last byte should have come; its times count from there
+
+
+@dataclass(slots=True)
+class Arrived:
+    """The last byte of a request that was asked for while it came."""
+
+    request: int
+
+
+@dataclass(slots=True)
+class Spent:
+    """A part of a request's body is held no more: it can't be sent again, whatever became of it."""
+
+    request: int
 
 
 @dataclass(slots=True)
@@ -198,6 +213,8 @@
 
 @dataclass(slots=True)
 class StreamStarted:
+    """The answer has begun to go to the client; it is this attempt's, and how it ends is told later."""
+
     request: int
     attempt: int
     backend: object
@@ -236,7 +253,7 @@
     latency: float
 
 
-Event = (Roster | Request | Outcome | StreamStarted | ClientGone | TimerDue | ProbeResult
+Event = (Roster | Request | Arrived | Spent | Outcome | StreamStarted | ClientGone | TimerDue | ProbeResult
          | PeerMessage | CounterReply)
 
 
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -13,14 +13,17 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import httptools
 
+from fennelpoint.bodies import COMMIT, MOST, STOPPED, WHOLE, Budget, Upload
 from fennelpoint.interface import BackendState, Roster, RosterKind, Status
 from fennelpoint.net.notice import complain
+from fennelpoint.net.paced import Paced
 
-MOST_ANSWER = 64 * 1024     # bytes of a body
-MOST_RECEIVED = 2 * MOST_ANSWER  # bytes of a whole answer with its head and framing
+MOST_RECEIVED = 2 * WHOLE   # bytes of a whole answer with its head and framing
+NOBODYS = "is nobody's any more"
 STALLED = 0.5               # s without a byte in the middle of an answer: the rest won't come
 OWN_SHORTAGE = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 CONNECT_TIMEOUT = 0.25      # s, where the settings tell none
@@ -36,16 +39,28 @@
     status: int
     headers: list[tuple[bytes, bytes]]
     body: bytes
+    length: int | None = None   # of one that is passed on as it comes, where it is told
+
+
+class Sink(Protocol):
+    """Who takes the bytes of an answer as they come."""
+
+    def more(self, data: bytes) -> None: ...
 
 
 class Exchange:
     """One request to one backend, from the wish to send it until its outcome."""
 
-    __slots__ = ("render", "done", "connection", "connecting", "ended")
+    __slots__ = ("render", "done", "begun", "upload", "taken", "connection", "connecting", "ended")
 
-    def __init__(self, render: Callable[[], bytes], done: Callable[[Status, Answer | None], None]) -> None:
+    def __init__(self, render: Callable[[], bytes], done: Callable[[Status, Answer | None], None],
+                 begun: Callable[[Answer, UpstreamConnection], Sink | None] = lambda answer, source: None,
+                 upload: Upload | None = None, taken: Callable[[], None] = lambda: None) -> None:
         self.render = render    # the bytes to send, made when they can be written
         self.done = done        # told the outcome, once
+        self.begun = begun      # told when a large answer begins to come; who takes it, or nobody
+        self.upload = upload    # the request's body, where that is passed on as it comes
+        self.taken = taken      # told when some of that has been written
         self.connection: UpstreamConnection | None = None
         self.connecting: asyncio.Task | None = None
         self.ended = False
@@ -56,6 +71,11 @@
             self.connection = self.connecting = None
             self.done(status, answer)
 
+    def push(self) -> None:
+        """There is more of the request's body."""
+        if self.connection is not None:
+            self.connection.push()
+
     def give_up(self, status: Status) -> None:
         """Stop waiting: the connection is closed, so that the backend sees it and no late answer is read.
 
@@ -88,20 +108,25 @@
         return self.state is BackendState.READY and not self.retired
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(Paced):
     """A kept-alive connection that carries one exchange at a time."""
 
-    __slots__ = ("pool", "upstream", "transport", "exchange", "first", "parser", "written", "idle_since",
+    __slots__ = ("pool", "upstream", "transport", "exchange", "first", "parser", "flushed", "idle_since",
                  "poll", "status", "headers", "body", "size", "complete", "excess", "keep", "closed", "heard",
-                 "doubt", "__weakref__")
+                 "doubt", "sink", "length", "flows", "open_end", "got", "in_body", "paused", "pushed_at",
+                 "__weakref__")
 
     def __init__(self, pool: Backends, upstream: Upstream, first: Exchange) -> None:
+        super().__init__(pool.budget)
         self.pool, self.upstream, self.first = pool, upstream, first
         self.heard, self.doubt = 0.0, ""
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
         self.parser = httptools.HttpResponseParser(self)
-        self.written, self.closed, self.idle_since = True, False, 0.0
+        self.flushed, self.closed, self.idle_since = True, False, 0.0
+        self.sink: Sink | None = None   # who takes an answer that is passed on as it comes
+        self.paused = False     # it takes no more just now
+        self.pushed_at = 0.0    # when the last of a body was written that is passed on as it comes
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -121,28 +146,60 @@
     def start(self, exchange: Exchange) -> None:
         self.exchange, exchange.connection, exchange.connecting = exchange, self, None
         self._reset()
-        self.written = True     # unless pause_writing says that some is left
+        self.flushed = True     # unless pause_writing says that some is left
         self.transport.write(exchange.render())
+        if exchange.upload is not None:
+            self.push()
+
+    @property
+    def written(self) -> bool:
+        """Whether the request has left us whole; one that hasn't can't have run."""
+        exchange = self.exchange
+        return self.flushed and (exchange is None or exchange.upload is None or exchange.upload.ended)
+
+    def push(self) -> None:
+        """Write what there is of a body that is passed on as it comes, if the backend takes it."""
+        upload = self.exchange.upload
+        if self.flushed and upload.waits:
+            self.pushed_at = time.monotonic()
+            self.transport.write(upload.take())
+            self.exchange.taken()
 
     def _reset(self) -> None:
         self.status, self.headers, self.body, self.size = 0, [], [], 0
         self.complete = self.excess = self.keep = False
         self.heard, self.doubt = 0.0, ""
+        self.sink, self.length, self.got = None, None, 0
+        self.flows = self.open_end = self.in_body = False
 
     def stale(self) -> bool:
         """Whether the peer has closed its side, or said something unasked, since the last answer."""
         return self.closed or self.transport.is_closing() or bool(self.poll.poll(0))
 
     def pause_writing(self) -> None:
-        self.written = False
+        self.flushed = False
 
     def resume_writing(self) -> None:
-        self.written = True
+        self.flushed = True
+        if self.exchange is not None and self.exchange.upload is not None:
+            self.push()
+
+    def pause(self) -> None:
+        """Who takes the answer has enough for now."""
+        if not self.paused and not self.closed:
+            self.paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        if self.paused and not self.closed:
+            self.paused, self.heard = False, time.monotonic()
+            self.transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None:
             return self.close()     # unasked: an answer to nothing
-        self.size += len(data)
+        if self.sink is None:
+            self.size += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -151,9 +208,11 @@
             self.excess = True
         if self.complete and not self.doubt:
             self._answered()
+        elif self.doubt == NOBODYS:
+            self.exchange.give_up(Status.CANCELLED)
         elif self.doubt:
             self._spoilt(self.doubt)
-        elif self.size > MOST_RECEIVED:
+        elif self.sink is None and self.size > MOST_RECEIVED:
             self._spoilt("is too large")
         else:
             self.heard = time.monotonic()
@@ -164,7 +223,7 @@
         self.excess = self.excess or self.complete
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.complete:
+        if not (self.complete or self.in_body):     # else of a trailer, or of what is not asked for
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -172,37 +231,59 @@
             return
         self.status = self.parser.get_status_code()
         if self.status == 200:
-            # Guards the wait and the memory: an answer of gigabytes, or of no told end, is not waited for.
             length = next((value for name, value in self.headers if name == b"content-length"), None)
-            if length is None and not any(name == b"transfer-encoding" for name, _ in self.headers):
-                self.doubt = "does not tell where it ends"
-            elif length is not None and int(length) > MOST_ANSWER:
-                self.doubt = "is too large"
+            if length is not None:
+                self.length = int(length)
+                if self.length > MOST:  # guards the wait: an answer of gigabytes is not waited for
+                    self.doubt = "is too large"
+            else:
+                self.open_end = not any(name == b"transfer-encoding" for name, _ in self.headers)
+            self.flows = self.length is None or self.length > WHOLE
+        self.in_body = self.status >= 200
 
     def on_body(self, body: bytes) -> None:
-        if not self.complete:
+        if self.complete or self.doubt:
+            return
+        self.got += len(body)
+        if self.got > MOST:
+            self.doubt = "has no end"
+        elif self.sink is not None:
+            self.sink.more(body)
+        else:
             self.body.append(body)
+            if self.flows and self.got >= COMMIT and self.length != self.got:
+                self._begin()
+
+    def _begin(self) -> None:
+        """A large answer: from here on it goes out as it comes, and can't be had from another any more."""
+        first, self.body = b"".join(self.body), []
+        self.sink = self.exchange.begun(Answer(self.status, self.headers, b"", self.length), self)
+        if self.sink is None:
+            self.doubt = NOBODYS
+        else:
+            self.sink.more(first)
 
     def on_message_complete(self) -> None:
         if self.complete:
             return
         if 100 <= self.status < 200:
             self.headers.clear()    # an interim answer; the one that counts follows
+            self.in_body = False
         else:
             # Asked here, as the parser has forgotten it once it returns: guards the reuse of connections.
             self.complete, self.keep = True, self.parser.should_keep_alive()
 
     def _answered(self) -> None:
-        exchange, body = self.exchange, b"".join(self.body)
+        exchange, body, written = self.exchange, b"".join(self.body), self.written
         answer = Answer(self.status, self.headers, body)
-        self.exchange = None
-        if self.excess or not self.written or not self.keep or not self.upstream.open:
+        self.exchange = self.sink = None
+        if self.paused:
+            self.resume()
+        if self.excess or not written or not self.keep or not self.upstream.open:
             self.close()
         else:
             self.idle_since = time.monotonic()
             self.upstream.idle.append(self)
-        if len(body) > MOST_ANSWER:
-            return exchange.end(Status.ERROR)
         turned_away = self.status in (503, 504) and (b"x-turned-away", b"1") in self.headers
         status = Status.OK if self.status == 200 else Status.FULL if turned_away else Status.ERROR
         exchange.end(status, answer)
@@ -210,20 +291,30 @@
     def _spoilt(self, what: str) -> None:
         """An answer that is none: the request may have run, and the connection is of no further use."""
         complain("upstream", "an answer of %s:%d %s", self.upstream.host, self.upstream.port, what)
-        exchange, self.exchange = self.exchange, None
+        exchange, self.exchange, self.sink = self.exchange, None, None
         self.close()
         exchange.end(Status.ERROR)
 
     def stalled(self, now: float) -> None:
         """Guards the request's time: a length over what was sent would hold it until its deadline."""
-        if self.exchange is not None and 0.0 < self.heard < now - STALLED:
+        most = STALLED if self.sink is None else STOPPED
+        if self.exchange is not None and 0.0 < self.heard < now - most and not self.paused:
             self._spoilt("does not come whole")
+        elif not (self.flushed or self.exchange is None or self.exchange.upload is None) and (
+                self.pushed_at < now - STOPPED):
+            self.exchange.give_up(Status.TIMEOUT)   # it takes no more of a body
 
     def eof_received(self) -> None:
-        """A half-closed connection takes no more requests; returning nothing closes our side too."""
+        """A half-closed connection takes no more requests; returning nothing closes our side too.
+
+        It is the end of an answer that tells no other.
+        """
+        if self.exchange is not None and self.open_end and not self.doubt:
+            self.complete = True
+            self._answered()
 
     def connection_lost(self, error: Exception | None) -> None:
-        written, exchange, self.exchange = self.written, self.exchange, None
+        written, exchange, self.exchange, self.sink = self.written, self.exchange, None, None
         self.close()
         self.pool.all.discard(self)
         self.parser = self.poll = None  # parser and protocol hold each other, and collections are rare
@@ -242,8 +333,8 @@
     """The connections to every backend that discovery has named, within one bound."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, connect_timeout: float,
-                 idle_close: float) -> None:
-        self.loop, self.most = loop, most
+                 idle_close: float, budget: Budget) -> None:
+        self.loop, self.most, self.budget = loop, most, budget
         self.connect_timeout = connect_timeout or CONNECT_TIMEOUT
         self.idle_most = min(IDLE_MOST, idle_close * IDLE_SHARE) if idle_close else IDLE_MOST
         self.upstreams: dict[str, Upstream] = {}
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -11,9 +11,11 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 from typing import Protocol
 
 from fennelpoint import interface as api
+from fennelpoint.bodies import Budget, Upload
 from fennelpoint.control import Controller
 from fennelpoint.net.backends import Answer, Backends, Exchange, load_report
 from fennelpoint.net.counter import Counter
@@ -21,10 +23,22 @@
 from fennelpoint.net.notice import complain, log
 
 
+class Source(Protocol):
+    """Where an answer that is passed on as it comes is read from."""
+
+    def pause(self) -> None: ...
+    def resume(self) -> None: ...
+
+
 class Client(Protocol):
-    """Where a request's answer goes."""
+    """Where a request's answer goes: at once by `served`, or from `begin` to `done` or `broken`."""
 
     def served(self, answer: Answer) -> None: ...
+    def begin(self, answer: Answer, source: Source) -> None: ...
+    def more(self, data: bytes) -> None: ...
+    def done(self) -> None: ...
+    def broken(self) -> None: ...
+    def taken_on(self) -> None: ...
     def refused(self, retry_after: float) -> None: ...
     def failed(self) -> None: ...
 
@@ -46,6 +60,8 @@
     head: bytes     # request line and end-to-end fields, without the time left
     body: bytes
     bare: bool = False  # a HEAD: the client wants no body
+    upload: Upload | None = None    # its body, where that is passed on as it comes
+    coming: float = 0.0     # s in which the rest of that should come
 
     def render(self, left: float) -> bytes:
         """The bytes for a backend that is waited for this many seconds."""
@@ -62,6 +78,7 @@
     deadline: float
     timer: asyncio.TimerHandle | None = None
     attempts: int = 0
+    begun: bool = False     # its answer has begun to go out: there is no deadline any more
     out: dict[int, Exchange] = field(default_factory=dict)
 
 
@@ -69,8 +86,8 @@
     """Drives the module from socket events and its actions back to the sockets."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, settings: api.Settings, seed: int,
-                 backends: Backends, counter: Counter | None) -> None:
-        self.loop, self.settings, self.backends = loop, settings, backends
+                 backends: Backends, counter: Counter | None, budget: Budget) -> None:
+        self.loop, self.settings, self.backends, self.budget = loop, settings, backends, budget
         self.clock = Clock()
         driver = Driver(loop, self.clock, counter, self.post)
         self.tickets: dict[int, Ticket] = {}
@@ -131,14 +148,28 @@
         """Take a request whose last byte has come; its id, for `gone`."""
         self.last_id += 1
         ticket = Ticket(self.last_id, asked, client, self.clock() + asked.time_left)
+        if asked.upload is not None:    # counted from its last byte; the server ends one that never comes
+            ticket.deadline = inf
         self.tickets[ticket.id] = ticket
         self.open_ids.add(asked.txn)
         self.waiting += 1
-        ticket.timer = self.loop.call_later(asked.time_left, self._expire, ticket)
+        if asked.upload is None:
+            ticket.timer = self.loop.call_later(asked.time_left, self._expire, ticket)
         self.post(api.Request(ticket.id, asked.cls, asked.plan, asked.customer, asked.time_left, asked.units,
-                              asked.width, asked.first, asked.is_repeat, asked.is_write))
+                              asked.width, asked.first, asked.is_repeat, asked.is_write, asked.coming))
         return ticket.id
 
+    def came(self, request: int) -> None:
+        """More of the body of a request that is passed on as it comes, or its last byte."""
+        if (ticket := self.tickets.get(request)) is None:
+            return
+        if ticket.asked.upload.whole and ticket.timer is None and not ticket.begun:
+            ticket.deadline = self.clock() + ticket.asked.time_left
+            ticket.timer = self.loop.call_later(ticket.asked.time_left, self._expire, ticket)
+            self.post(api.Arrived(request))
+        for exchange in list(ticket.out.values()):
+            exchange.push()
+
     def is_open(self, txn: bytes) -> bool:
         """Whether a request of this id has no answer yet, or may still be with a backend."""
         return txn in self.open_ids
@@ -149,6 +180,13 @@
         if ticket is not None and ticket.client is not None:
             self._finish(ticket, lambda client: None)
             self.post(api.ClientGone(request))
+            self._drop_useless(ticket)
+
+    def _drop_useless(self, ticket: Ticket) -> None:
+        """Nobody takes the rest of an answer that has begun, and half a request is no use to a backend."""
+        if ticket.begun or (ticket.asked.upload is not None and not ticket.asked.upload.whole):
+            for exchange in list(ticket.out.values()):
+                exchange.give_up(api.Status.CANCELLED)
 
     def _finish(self, ticket: Ticket, answer: Callable[[Client], None]) -> None:
         """The one answer of a request; whatever else is said of it later is moot."""
@@ -160,11 +198,14 @@
 
     def _forget(self, ticket: Ticket) -> None:
         if ticket.client is None and not ticket.out and self.tickets.pop(ticket.id, None) is not None:
-            ticket.timer.cancel()
+            if ticket.timer is not None:
+                ticket.timer.cancel()
             self.open_ids.discard(ticket.asked.txn)
 
     def _expire(self, ticket: Ticket) -> None:
         """The client's time is up: what is out is given up, and the module has the last word at once."""
+        if ticket.begun:
+            return
         for exchange in list(ticket.out.values()):
             exchange.give_up(api.Status.TIMEOUT)
         if ticket.client is not None:
@@ -175,15 +216,19 @@
     def fail_all(self) -> None:
         """The process ends: what is open gets its answer now, while there is someone to give it."""
         for ticket in list(self.tickets.values()):
-            self._finish(ticket, lambda client: client.failed())
+            if ticket.begun:
+                self._finish(ticket, lambda client: client.broken())
+            else:
+                self._finish(ticket, lambda client: client.failed())
+            self._drop_useless(ticket)
 
     # Actions
 
     def _send(self, send: api.Send) -> None:
         ticket, now = self.tickets.get(send.request), self.clock()
         number = ticket.attempts if ticket is not None else 0
-        if (ticket is None or ticket.client is None or now >= ticket.deadline or send.timeout < 0.0
-                or number >= self.settings.max_attempts):
+        if (ticket is None or ticket.client is None or ticket.begun or now >= ticket.deadline
+                or send.timeout < 0.0 or number >= self.settings.max_attempts):
             return self.post(api.Outcome(send.request, number, send.backend, api.Status.MOOT, 0.0,
                                          ticket is None or ticket.client is None))
         ticket.attempts += 1
@@ -194,18 +239,50 @@
             if timer is not None:
                 timer.cancel()
             ticket.out.pop(number, None)
-            if status is api.Status.OK and ticket.client is not None:
+            if ticket.begun:
+                good = status is api.Status.OK
+                self._finish(ticket, lambda client: client.done() if good else client.broken())
+            elif status is api.Status.OK and ticket.client is not None:
                 self._finish(ticket, lambda client: client.served(answer))
             self._forget(ticket)
-            self.post(api.Outcome(send.request, number, send.backend, status, self.clock() - now,
+            self.post(api.Outcome(send.request, number, send.backend, status,
+                                  self.clock() - self._sent(ticket, now),
                                   ticket.client is None, report=self._report(answer)))
 
-        exchange = Exchange(lambda: ticket.asked.render(until - self.clock()), done)
+        def begun(answer: Answer, source: Source) -> Client | None:
+            if (client := ticket.client) is None:
+                return None
+            ticket.begun = True
+            if timer is not None:
+                timer.cancel()
+            client.begin(answer, source)
+            latency = self.clock() - self._sent(ticket, now)
+            self.post(api.StreamStarted(send.request, number, send.backend, latency))
+            return client
+
+        def render() -> bytes:
+            if ticket.asked.upload is None:
+                return ticket.asked.render(until - self.clock())
+            self.post(api.Spent(send.request))  # what is written is held no more
+            return ticket.asked.render(ticket.asked.time_left)
+
+        def taken() -> None:
+            if ticket.client is not None:
+                ticket.client.taken_on()
+
+        exchange = Exchange(render, done, begun, ticket.asked.upload, taken)
         ticket.out[number] = exchange
-        if until < ticket.deadline:     # else the request's own timer ends it
+        if until < ticket.deadline and ticket.asked.upload is None:     # else the request's own timer ends it
             timer = self.loop.call_later(until - now, exchange.give_up, api.Status.TIMEOUT)
         self.backends.begin(exchange, send.backend)
 
+    @staticmethod
+    def _sent(ticket: Ticket, began: float) -> float:
+        """When an attempt's time began: with the request's last byte, where that came later than the send."""
+        if ticket.asked.upload is None or ticket.deadline == inf:
+            return began
+        return max(began, ticket.deadline - ticket.asked.time_left)
+
     def _report(self, answer: Answer | None) -> list[float]:
         if answer is None or self.settings.report_via != "answers":
             return []
--- a/fennelpoint/net/routed.py
+++ b/fennelpoint/net/routed.py
@@ -9,8 +9,9 @@
 from functools import lru_cache
 
 from fennelpoint import interface as api
+from fennelpoint.bodies import Upload
 from fennelpoint.net.host import Asked
-from fennelpoint.net.server import BadRequest, Reader, Reply
+from fennelpoint.net.server import BadRequest, Reader, Reply, framing
 from fennelpoint.routes.paths import PathError, split_target
 from fennelpoint.routes.table import RouteTable, ValueFault
 
@@ -31,7 +32,8 @@
         """Go by this table for every request that is read from now on."""
         self.table = table
 
-    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> Asked:
+    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]], body: bytes,
+             upload: Upload | None = None) -> Asked:
         if url == b"*" and method == b"OPTIONS":
             raise Reply(200)
         try:
@@ -54,7 +56,7 @@
             raise BadRequest("the target's host is not the Host field's")
         if (lane := found.get(b"x-lane")) is not None and lane != self.lanes[route.cls]:
             raise BadRequest(f"x-lane is not the route's class, {route.cls_name}")
-        if method == b"GET" and body:
+        if method == b"GET" and (body or upload is not None):
             raise BadRequest("a GET has no body here")
         plan = self._known(found, b"api-plan", self.plans)
         if route.plans is not None and plan not in route.plans:
@@ -74,7 +76,8 @@
                 raise BadRequest(f"{route.key.name} must hold one key: the route is keyed")
         customer = self._customer(self._needed(found, b"cookie"))
         if method != b"GET":
-            lines.append(b"content-length: %d" % len(body))
+            lines.append(framing(body, upload))
         safe = self.settings.classes[route.cls].effect is api.Effect.SAFE
         return Asked(found[b"x-txn"], route.cls, plan, customer, left, units, width, first,
-                     found.get(b"x-resent") == b"1", not safe, b"\r\n".join(lines) + b"\r\n", body, bare)
+                     found.get(b"x-resent") == b"1", not safe, b"\r\n".join(lines) + b"\r\n", body,
+                     bare, upload)
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -16,6 +16,7 @@
     slow_at: float          # when its slowness was last brought up to date
     out: dict[int, tuple[float, float, float, Customer]] = field(default_factory=dict)
     # attempts out, by request: work, sent at, aim, customer
+    begun: dict[int, Customer] = field(default_factory=dict)   # answers under way: whose, by request
     load: float = 0.0       # work out
     slow: float = 1.0       # latency over the class's typical one; failures add to it
     reported: float = 0.0   # requests it holds, by its own word
@@ -24,7 +25,6 @@
     failed_at: float = -1e9  # when the last of them ended; what was sent before tells no more
     rest_until: float = 0.0 # nothing is sent before
 
-
     @property
     def usable(self) -> bool:
         """Whether the roster lets us send to it."""
@@ -97,6 +97,8 @@
     told: bool = False              # the counter knows that it took its units
     ran_at: float | None = None     # send time of the first attempt that may have run
     ran_on: BackendEntry | None = None
+    spent: bool = False             # its body is not held any more
+    came_at: float = 0.0            # when its last byte came, or should
     not_before: float = 0.0
     last: float = 0.0               # when it is ended if it still waits
     picked: list[Backend] | None = None  # backends probed for it
--- a/fennelpoint/upkeep.py
+++ b/fennelpoint/upkeep.py
@@ -87,30 +87,36 @@
             if old is None or (e.state is api.BackendState.READY and e.started_at != old.entry.started_at):
                 new = self.known[e.backend] = Backend(e, random.random(), now)
                 if old is not None:  # what was out there before its restart may still be answered
-                    new.rank, new.out, new.load = old.rank, old.out, old.load
+                    new.rank, new.out, new.load, new.begun = old.rank, old.out, old.load, old.begun
                     self.busy.update({e.backend: new} if new.out else {})
             else:
                 old.entry = e
-        for b in [b for b in self.known.values() if b.entry.state is api.BackendState.GONE and not b.out]:
+        for b in [b for b in self.known.values() if b.entry.state is api.BackendState.GONE
+                  and not b.out and not b.begun]:
             del self.known[b.entry.backend]
         self.ready = sorted((b for b in self.known.values() if b.usable), key=lambda b: b.rank)
 
     def send(self, b: Backend, t: Try, work: float, aim: float, now: float) -> None:
-        b.out[t.ask.request] = (work, now, aim, t.customer)
+        b.out[t.ask.request] = (work, max(now, t.came_at), aim, t.customer)
         b.load, self.busy[b.entry.backend] = b.load + work, b
         t.customer.open += 1
         self.out += 1
 
     def answer(self, b: Backend, request: int) -> None:
         """An attempt is not out any more, also where the client has left meanwhile."""
-        work, _, _, customer = b.out.pop(request)
+        if (customer := b.begun.pop(request, None)) is None:
+            self.begin(b, request)
+            customer = b.begun.pop(request)
         customer.open -= 1
+
+    def begin(self, b: Backend, request: int) -> None:
+        """Its answer is under way: the backend's work is done, and only its customer counts it as out."""
+        work, _, _, b.begun[request] = b.out.pop(request)
         self.out -= 1
         b.load = max(0.0, b.load - work) if b.out else 0.0
         if not b.out:
             self.busy.pop(b.entry.backend, None)
 
-
     def probed(self, backend: object) -> list[Try]:
         """The tries for which this was the last probe to be answered."""
         tries = self.probing.pop(backend, ())
