--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -224,7 +224,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not (self.complete or self.in_body):     # else of a trailer, or of what is not asked for
-            self.headers.append((name.lower(), value))
+            self.headers.append((name.lower(), value.rstrip(b" \t")))
 
     def on_headers_complete(self) -> None:
         if self.complete:
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -40,6 +40,7 @@
 MOST_LEFT_MS = 600_000  # ms; a longer wait is not meant
 MOST_CUSTOMER = 1 << 33
 MOST_TERMS = 128        # bytes
+OWS = b" \t"              # may stand round a field's value (RFC 9110, section 5.5)
 ID = re.compile(rb"[!-~]{1,128}")
 ACCOUNT = re.compile(rb"account=[0-9a-f]{16}")
 
@@ -367,7 +368,7 @@
         if self.in_body:
             return      # a trailer: too late to count
         self.head_size += len(name) + len(value)
-        self.headers.append((name.lower(), value))
+        self.headers.append((name.lower(), value.rstrip(OWS)))   # the parser leaves what follows the value
 
     def on_headers_complete(self) -> None:
         self.in_head, self.in_body = False, True
