--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -296,8 +296,9 @@
         now = time.monotonic()
         if self.pace is None:
             self.pace = Pace(now)
-            if self.expects and self.open is None and not self.waiting:
-                self._go_on()
+        if self.expects and self.open is None and not self.waiting:
+            self.expects, self.pace = False, Pace(now)
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.pace.got = self.body_size
         if self.upload is None and self.place is not self.server.bodies and self.open is None:
             self._stand(self.server.bodies)
@@ -310,10 +311,6 @@
                 self._pass_on(now)
         self._throttle(now)
 
-    def _go_on(self) -> None:
-        self.expects = False
-        self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
     def _pass_on(self, now: float) -> None:
         """Ask for the request before it has come whole, and pass the rest of it on as it comes."""
         upload = Upload(self.length)
