--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -153,7 +153,7 @@
         async def handle(reader, writer) -> None:
             await read_message(reader)
             writer.write(answer[:cut[0]])
-        for cuts in (range(len(answer)), [len(answer)]):    # by themselves: who fails is left alone for a while
+        for cuts in (range(len(answer)), [len(answer)]):    # apart: who fails is left alone for a while
             async with world(Fake(handle), Fake(handle)) as made:
                 for cut[0] in cuts:
                     reader, writer = await made.connect()
