An upgrade's two processes are one ingress: shares halved, stores split, word by files

Need: with the socket inherited both processes held a whole share of every quota and ceiling, twice the descriptors, and the new one knew nothing.

A process takes no client and no /ready before it could serve. descriptors.py plans the limit in one place, halved while two live.

--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -18,7 +18,9 @@
 
 from fennelpoint import interface as api
 from fennelpoint.bodies import Budget, budget_of
+from fennelpoint.descriptors import LEAST, plan
 from fennelpoint.faults import FaultyFile
+from fennelpoint.handover import tell, tell_rest
 from fennelpoint.lifecycle import Event, LifeCycle, Step
 from fennelpoint.net.backends import Backends
 from fennelpoint.net.counter import Counter
@@ -36,9 +38,8 @@
 LIST_WAIT = 1.0         # s for discovery to answer before the list known from before will do
 LOOK = 0.05             # s between looks at what a drain or an end has left to do
 SOCKETS, MEMORY_MB = 1024, 192  # descriptors and memory, where the configuration tells no limit
-RESERVED = 32           # of them for files, the loop, discovery, the counter and the listener
 GC_THRESHOLDS = (10_000, 20, 50)  # nearly all is freed by count: cycles are looked for more rarely
-UPSTREAM_SHARE = 0.4    # of the rest for upstream connections; the clients get the others
+TURN = 0.05             # s between looks at a predecessor, until we serve; then each sweep
 
 
 class ConfigError(Exception):
@@ -60,6 +61,7 @@
     door: Address | None = None     # where operators call; none: there is no door
     inherited: socket.socket | None = None  # the clients' listening socket, where the platform holds it
     memory_mb: float = MEMORY_MB
+    folder: str = ""        # common to the processes of one ingress
 
 
 def read_config(path: str) -> Config:
@@ -78,8 +80,8 @@
             raise ConfigError("configuration: counter is missing, and the settings say that there is one")
         limits = value.get("limits", {})
         sockets = limits.get("sockets", SOCKETS) if isinstance(limits, dict) else None
-        if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 2 * RESERVED:
-            raise ConfigError(f"configuration: limits.sockets: {sockets!r} is not {2 * RESERVED} or more")
+        if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < LEAST:
+            raise ConfigError(f"configuration: limits.sockets: {sockets!r} is not {LEAST} or more")
         memory = limits.get("memory_mb", MEMORY_MB)
         if isinstance(memory, bool) or not isinstance(memory, int | float) or not 16 <= memory < 1 << 24:
             raise ConfigError(f"configuration: limits.memory_mb: {memory!r} is not 16 or more")
@@ -141,20 +143,22 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, path: str = "",
                  operator_path: str = "") -> None:
         self.operator_path = operator_path
-        settings, room = config.settings, config.sockets - RESERVED
-        upstream = int(room * UPSTREAM_SHARE)
+        settings, room = config.settings, plan(config.sockets)
         self.loop, self.config, self.path, self.stopped = loop, config, path, loop.create_future()
         self.budget = Budget(budget_of(config.memory_mb))
-        self.backends = Backends(loop, upstream, settings.connect_timeout, settings.idle_close, self.budget)
+        self.backends = Backends(loop, room.upstream, settings.connect_timeout, settings.idle_close,
+                                 self.budget)
         self.counter = Counter(loop, *config.counter, settings.counter_timeout) if (
             config.counter is not None and settings.has_counter) else None
         self.host = Host(loop, settings, config.seed, self.backends, self.counter, self.budget)
         self.discovery = Discovery(loop, config.discovery, settings, self.follow)
+        self.listed = False     # there is a list to go by
         self.coming: Discovery | None = None    # a new discovery that has not told its list yet
         self.follower = None    # of a description, where the operator file names one
         self.life, self.looking = LifeCycle(time.monotonic()), False
-        self.server = Server(loop, self.host, room - upstream, self.life, self._reader())
-        self.beat, self.door = self._beat(), self._door()
+        self.server = Server(loop, self.host, room.clients, self.life, self._reader())
+        self.beat, self.door, self.relay = self._beat(), self._door(), self._relay()
+        self.turn = None    # this process's part among those of its ingress
 
     def _beat(self):
         """The word to the announcer, where the operator file has one; its part is loaded only then."""
@@ -175,7 +179,16 @@
             return None
         from fennelpoint.net.door import Door
 
-        return Door(self.loop, self.life, self.config.name, self.look, self._stand)
+        callers = plan(self.config.sockets).callers
+        return Door(self.loop, self.life, self.config.name, callers, self.look, self._stand)
+
+    def _relay(self):
+        """The other processes of this ingress, where the platform holds its socket; loaded only then."""
+        if self.config.inherited is None or not self.config.folder:
+            return None
+        from fennelpoint.net.relay import Relay
+
+        return Relay(self.config.folder, self.config.name, "{}:{}".format(*self.config.listen))
 
     def _stand(self) -> str:
         return f": {len(self.server.connections)} connections, {self.host.waiting} requests open"
@@ -196,7 +209,8 @@
         if (known := self.config.known) is not None:
             known.roster.kind = api.RosterKind.CACHED
             self.discovery.take(known)
-        await self.server.listen(self.config.inherited or self.config.listen)
+        if self.relay is None:
+            await self.server.listen(self.config.inherited or self.config.listen)
         if self.door is not None:
             await self.door.listen(self.config.door)
         self.discovery.start()
@@ -206,11 +220,45 @@
             self.beat.start()
         self.loop.call_later(LIST_WAIT, self._go_by_known)
         self.loop.call_later(SWEEP, self._sweep)
+        if self.relay is not None:
+            from fennelpoint.succession import Succession
+
+            self.turn = Succession(self.relay.generation, self.relay.living(), time.monotonic())
+            log.info("%s is generation %d", self.config.name, self.relay.generation)
+            self._turn()
+
+    def _turn(self) -> None:
+        """What is due among the processes of this ingress."""
+        from fennelpoint.succession import Give, Serve, Share, Take
+
+        turn, relay, before = self.turn, self.relay, {self.turn.predecessor} - {None}
+        steps = turn.look(relay.living(), {g for g in before if relay.has(g, False)},
+                          {g for g in before if relay.has(g, True)}, self.listed, time.monotonic())
+        for step in steps:
+            if isinstance(step, Share):
+                room = plan(self.config.sockets, step.parts)
+                self.server.most, self.backends.most = room.clients, room.upstream
+                self.host.post(api.Twins(step.parts))
+            elif isinstance(step, Give):
+                relay.write(step.generation, tell(self.host.controller, step.parts))
+                log.info("%s told generation %d", self.config.name, step.generation)
+            elif isinstance(step, Take):
+                if (state := relay.read(step.generation, step.last)) is not None:
+                    self.host.post(api.Told(state))
+            elif isinstance(step, Serve):
+                task = self.loop.create_task(self.server.listen(self.config.inherited))
+                task.add_done_callback(lambda task: self._serve())
+        if not turn.serving:
+            self.loop.call_later(TURN, self._turn)
+
+    def _serve(self) -> None:
+        self.relay.serves()
+        self._set_ready()
 
     def follow(self, roster: api.Roster, addresses: dict[str, Address]) -> None:
         self.host.follow(roster, addresses)
         if roster.kind is api.RosterKind.FULL:
-            self._set_ready()
+            self._go_by_list()
 
     def reload(self) -> None:
         """SIGHUP: go over to the discovery and the counter that the file names now; the rest stays.
@@ -258,6 +306,11 @@
         self.discovery.follow = self.follow
         self.follow(roster, addresses)
 
+    def _go_by_list(self) -> None:
+        self.listed = True
+        if self.relay is None:      # else there is more to wait for
+            self._set_ready()
+
     def _set_ready(self) -> None:
         if not self.life.listed:
             self.life.handle(Event.LISTED, time.monotonic())
@@ -266,12 +319,14 @@
     def _go_by_known(self) -> None:
         """A restart while discovery is down goes on with the list that was known."""
         if self.discovery.known:
-            self._set_ready()
+            self._go_by_list()
 
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP, self._sweep)
         self.server.sweep()
         self.backends.sweep()
+        if self.turn is not None and self.turn.serving:
+            self._turn()
         if self.counter is not None:
             self.counter.sweep()
 
@@ -280,7 +335,8 @@
         if self.life.ending:
             return
         log.info("%s stops", self.config.name)
-        relieved = self.config.inherited is not None    # the socket outlives us: nothing is refused meanwhile
+        relieved = self.turn is not None and (
+            newer := self.turn.successor) is not None and self.relay.one_serves(newer)
         self.life.handle(Event.RELIEVED if relieved else Event.TERM, time.monotonic())
         self.look()
 
@@ -305,6 +361,8 @@
             self.loop.call_later(LOOK, self._look)
 
     def _end(self) -> None:
+        if self.turn is not None and self.turn.successor is not None:
+            self.relay.write(self.turn.successor, tell_rest(self.host.controller), last=True)
         if not self.stopped.done():
             self.stopped.set_result(None)
 
@@ -315,7 +373,7 @@
                 discovery.stop()
         if self.follower is not None:
             self.follower.close()
-        for part in (self.beat, self.door):
+        for part in (self.beat, self.door, self.relay):
             if part is not None:
                 part.close()
         self.server.close()
@@ -348,7 +406,7 @@
             raise ConfigError("BALANCER_CONFIG names no configuration")
         config = read_config(path)
         if number := os.environ.get("BALANCER_SOCKET_FD"):
-            config.inherited = inherit(number, config.listen)
+            config.inherited, config.folder = inherit(number, config.listen), os.environ.get("TMPDIR", "")
         if operator := os.environ.get("LARCHWING_OPERATOR", ""):
             add_operator(config, operator)
     except (ConfigError, FaultyFile) as error:
--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -13,6 +13,7 @@
 
 from fennelpoint import interface as api
 from fennelpoint.choice import cold_odds, cold_share
+from fennelpoint.handover import share_out, take, take_health
 from fennelpoint.state import Ask, Backend, Customer, Cut, Try
 from fennelpoint.tally import EPOCH, LIFE, MARK, NEW, level_of, name_of, owed
 from fennelpoint.upkeep import Fleet, Line, Sums, Timers, fill, forget, new_total, same_group, settled
@@ -75,6 +76,7 @@
         self.settings, self.random, self.out = settings, Random(seed), []
         self.fleet, self.line, self.timers = Fleet(), Line(), Timers(settings.tick)
         self.customers: dict[int, Customer] = {}  # the longest unseen first
+        self.parts, self.health = 1, {}  # processes that are this ingress; told of backends not listed yet
         self.active: dict[int, Customer] = {}  # those that the period looks at
         self.typical = [FIRST_GUESS * c.aim for c in settings.classes]  # latency of a class, uncrowded
         self.usual = list(self.typical)  # and as it is now
@@ -93,7 +95,8 @@
         self.on = {api.Request: self._admit, api.Outcome: self._outcome, api.Roster: self._roster,
                    api.ProbeResult: self._probed, api.TimerDue: self._timer, api.CounterReply: self._counted,
                    api.ClientGone: self._gone, api.StreamStarted: self._began, api.Arrived: self._arrived,
-                   api.Spent: self._spent}
+                   api.Spent: self._spent, api.Twins: lambda e, now: share_out(self, e.parts),
+                   api.Told: self._told}
 
     def start(self, now: float) -> list[api.Action]:
         return [api.Subscribe()] if self.settings.discovery == "ask" else []
@@ -108,13 +111,13 @@
             self._period(now) if due.token == TOKEN_PERIOD else self._pump(now)
 
     def _customer(self, ask: api.Request, now: float) -> Customer:
-        plan, width = self.settings.plans[ask.plan], max(1.0, ask.width)
+        plan, width = self.settings.plans[ask.plan], max(1.0, ask.width) * self.parts
         if (c := self.customers.pop(ask.customer, None)) is None:
             c = Customer(ask.customer, ask.plan, width, 1.0 / width, max(plan.burst / width, ask.units),
                          store=plan.burst, filled=now, total_at=now,
                          count_at=now + self.random.uniform(0.3, 1.0) * COUNT_PERIOD)
             least = ASK_EACH if self.blind > 0.5 else SPARSE
-            largest = self.settings.most_units * width
+            largest = self.settings.most_units * width / self.parts
             c.asks = self.settings.has_counter and 0.0 < plan.rate * least < largest
             # Guards shares under one request: a ceiling is split evenly where its parts hold the largest.
             c.held = c.asks and (plan.ceiling_burst - plan.burst >= largest or plan.ceiling_burst < largest)
@@ -446,6 +449,10 @@
         if (t := self.line.open.get(event.request)) is not None:
             t.spent = True
 
+    def _told(self, event: api.Told, now: float) -> None:
+        if bad := take(self, event.state, now):
+            self.out.append(api.Log(f"{bad} entries of what the process before told can't be used"))
+
     def _arrived(self, event: api.Arrived, now: float) -> None:
         """A request that came slowly: its times count from its last byte, and a backend begins it there."""
         if (t := self.line.open.get(event.request)) is None:
@@ -507,7 +514,10 @@
         if roster.kind is api.RosterKind.FAILED:
             return self.out.append(api.Subscribe())
         self.fleet.follow(roster, self.random, now)
-        self.window = self.window or max(1.0, FIRST_OUT * len(self.fleet.ready) / self.settings.ingresses)
+        self.window = self.window or max(1.0, FIRST_OUT * len(self.fleet.ready) / self.settings.ingresses
+                                         / self.parts)
+        for b in self.fleet.known.values() if self.health else ():
+            take_health(self, b, now)
 
     def _choose(self, t: Try, now: float) -> Backend | None:
         """The backend with the least expected wait, among some at random, that may take this try."""
--- /dev/null
+++ b/fennelpoint/handover.py
@@ -0,0 +1,143 @@
+"""What one process of an ingress tells the next, and two processes that are one ingress meanwhile.
+
+Stores are split, never copied: what is told is taken off here first, so a word that is lost loses room and
+passes no quota.  All figures are checked when they are taken in; one that makes no sense costs its entry.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from math import isfinite
+from typing import TYPE_CHECKING
+
+from fennelpoint.state import Backend, Customer
+
+if TYPE_CHECKING:
+    from fennelpoint.control import Controller
+
+MOST_TOLD = 8000    # customers, the last seen first
+COUNTED = ("total", "total_at", "ours", "alls", "spans", "store", "left", "left_at", "odds", "short_at",
+           "top", "top_at", "rate", "ratio", "worth", "seen", "filled")
+SPLIT = ("level", "ceiling")                # of a customer's stores, to each its part
+OWED = ("fresh", "untold", "untold_at")     # taken, and not yet told to the counter
+HEALTH = ("slow", "slow_at", "fails", "failed_at", "rest_until")
+OWN = {"window": (1.0, 1e5), "pressure": (0.0, 1.0), "usual_held": (0.0, 1e5), "usual_worth": (1e-3, 1e6),
+       "asking": (0.1, 1.0), "answers": (-1000, 1000), "silent_at": (-1e12, 1e12), "retries": (0.0, 10.0)}
+MOST_SLOW, MOST_FAILS, MOST_REST = 10.0, 60, 5.0    # of a backend; s
+
+
+def share_out(control: Controller, parts: int) -> None:
+    """So many processes are this ingress from now on: each is to quotas what an ingress is."""
+    factor, control.parts = parts / control.parts, parts
+    for c in control.customers.values():
+        c.width, c.share = c.width * factor, min(1.0, c.share / factor)
+        if factor > 1.0:
+            c.level, c.ceiling = c.level / factor, c.ceiling / factor
+    control.window = max(1.0, control.window / factor) if control.window else 0.0
+
+
+def _finite(values: Iterable[object]) -> bool:
+    return all(isinstance(v, int | float) and not isinstance(v, bool) and isfinite(v) for v in values)
+
+
+def tell(control: Controller, parts: int) -> dict:
+    """For a process that is to be one of `parts`: all that is known, and its part of the stores.
+
+    Take the same part off here with `share_out` at once: told and kept, it would be there twice.
+    """
+    customers = []
+    for c in list(reversed(control.customers.values()))[:MOST_TOLD]:
+        known = {n: getattr(c, n) for n in COUNTED if getattr(c, n) is not None and isfinite(getattr(c, n))}
+        customers.append({"key": c.key, "plan": c.plan, "width": c.width / control.parts, "asks": c.asks,
+                          "held": c.held, "share": c.share * control.parts / parts, **known,
+                          **{n: getattr(c, n) * control.parts / parts for n in SPLIT}})
+    backends = {b.entry.backend: [b.entry.started_at, *(getattr(b, n) for n in HEALTH)]
+                for b in control.fleet.known.values() if b.fails or b.slow != 1.0}
+    return {"customers": customers, "backends": backends, "typical": control.typical, "usual": control.usual,
+            "odds": control.odds, **{n: getattr(control, n) for n in OWN if isfinite(getattr(control, n))}}
+
+
+def tell_rest(control: Controller) -> dict:
+    """The last word of a process that ends: what its stores hold, and what the counter has not heard."""
+    return {"rest": [[c.key, c.plan, *(getattr(c, n) for n in (*SPLIT, *OWED))]
+                     for c in list(reversed(control.customers.values()))[:MOST_TOLD]]}
+
+
+def take(control: Controller, told: dict, now: float) -> int:
+    """Go on from there; how many entries could not be used."""
+    bad = 0
+    for entry in _list(told.get("customers")):
+        bad += not _take_customer(control, entry, now)
+    for entry in _list(told.get("rest")):
+        bad += not _take_rest(control, entry)
+    for name, (low, high) in OWN.items():
+        if _finite([value := told.get(name)]):
+            setattr(control, name, type(low)(min(high, max(low, value))))
+    if _finite([told.get("window")]):
+        control.window = max(1.0, control.window / control.parts)
+    for name in ("typical", "usual"):
+        values, own = told.get(name), getattr(control, name)
+        if isinstance(values, list) and len(values) == len(own) and _finite(values) and min(values) > 0.0:
+            setattr(control, name, [float(v) for v in values])
+    if _same_shape(told.get("odds"), control.odds):
+        control.odds = told["odds"]
+    if isinstance(health := told.get("backends"), dict):
+        control.health.update({key: values for key, values in health.items() if isinstance(values, list)
+                               and len(values) == 1 + len(HEALTH) and _finite(values)})
+        for b in control.fleet.known.values():
+            take_health(control, b, now)
+    return bad
+
+
+def _list(told: object) -> list:
+    return told if isinstance(told, list) else []
+
+
+def _same_shape(told: object, own: list[list[float]]) -> bool:
+    return isinstance(told, list) and len(told) == len(own) and all(
+        isinstance(row, list) and len(row) == len(mine) and _finite(row)
+        for row, mine in zip(told, own, strict=True))
+
+
+def take_health(control: Controller, b: Backend, now: float) -> None:
+    """What the process before knew of a backend, if this is the same start of it."""
+    if (values := control.health.pop(b.entry.backend, None)) is not None and values[0] == b.entry.started_at:
+        slow, slow_at, fails, failed_at, rest_until = values[1:]
+        b.slow, b.slow_at = min(MOST_SLOW, max(1 / MOST_SLOW, slow)), min(now, slow_at)
+        b.fails, b.failed_at = int(min(MOST_FAILS, max(0, fails))), min(now, failed_at)
+        b.rest_until = min(now + MOST_REST, rest_until)
+
+
+def _take_customer(control: Controller, entry: object, now: float) -> bool:
+    if not isinstance(entry, dict):
+        return False
+    figures = {n: entry[n] for n in COUNTED if n in entry}
+    key, plan, width = entry.get("key"), entry.get("plan"), entry.get("width")
+    stores, share = [entry.get(n) for n in SPLIT], entry.get("share")
+    if (type(key) is not int or type(plan) is not int or not 0 <= plan < len(control.settings.plans)
+            or not _finite([width, share, *stores, *figures.values()]) or not 1.0 <= width
+            or not 0.0 <= share <= 1.0):
+        return False
+    p = control.settings.plans[plan]
+    c = Customer(key, plan, width * control.parts, share, min(stores[0], p.burst), store=p.burst, filled=now,
+                 total_at=now, count_at=now)
+    for name, value in figures.items():
+        setattr(c, name, float(value))
+    c.ceiling = min(stores[1], p.ceiling_burst)
+    c.asks, c.held = entry.get("asks") is True, entry.get("held") is True
+    c.seen = c.filled = now
+    control.customers[key] = c
+    return True
+
+
+def _take_rest(control: Controller, entry: object) -> bool:
+    """Added to what there is: the two were parts of one store."""
+    if not isinstance(entry, list) or len(entry) != 2 + len(SPLIT) + len(OWED) or not _finite(entry):
+        return False
+    key, plan, level, ceiling, fresh, untold, untold_at = entry
+    if (c := control.customers.get(key)) is None or c.plan != plan or min(level, fresh, untold) < 0.0:
+        return True     # nobody asked for it here since: a cold start for it
+    p = control.settings.plans[plan]
+    c.level, c.ceiling = min(p.burst, c.level + level), min(p.ceiling_burst, c.ceiling + ceiling)
+    c.fresh, c.untold, c.untold_at = c.fresh + fresh, c.untold + untold, max(c.untold_at, untold_at)
+    return True
--- a/fennelpoint/interface.py
+++ b/fennelpoint/interface.py
@@ -198,6 +198,20 @@
     request: int
 
 
+@dataclass(slots=True)
+class Twins:
+    """So many processes are this ingress from now on; this one has its part of what an ingress may take."""
+
+    parts: int
+
+
+@dataclass(slots=True)
+class Told:
+    """What a process before this one knew, as it told it (`handover.py`)."""
+
+    state: dict
+
+
 @dataclass(slots=True)
 class Outcome:
     request: int
@@ -253,8 +267,8 @@
     latency: float
 
 
-Event = (Roster | Request | Arrived | Spent | Outcome | StreamStarted | ClientGone | TimerDue | ProbeResult
-         | PeerMessage | CounterReply)
+Event = (Roster | Request | Arrived | Spent | Twins | Told | Outcome | StreamStarted | ClientGone
+         | TimerDue | ProbeResult | PeerMessage | CounterReply)
 
 
 # Actions
--- a/fennelpoint/net/door.py
+++ b/fennelpoint/net/door.py
@@ -12,7 +12,6 @@
 from fennelpoint.lifecycle import Event, IllegalMove, LifeCycle
 from fennelpoint.net.notice import log
 
-MOST_CALLERS = 16   # connections at a time; the oldest makes room for a new one
 MOST_LINE = 128     # bytes
 PATIENCE = 4.5      # s for a caller to say its line
 LINGER = 0.5        # s for it to read the answer and close
@@ -80,10 +79,14 @@
 class Door:
     """The listener for the operators' calls."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, life: LifeCycle, name: str, moved: Callable[[], None],
-                 stand: Callable[[], str] = lambda: "") -> None:
-        """`moved` is told after a call that changed the phase; `stand` gives figures for the answer."""
-        self.loop, self.life, self.name, self.moved, self.stand = loop, life, name, moved, stand
+    def __init__(self, loop: asyncio.AbstractEventLoop, life: LifeCycle, name: str, most: int,
+                 moved: Callable[[], None], stand: Callable[[], str] = lambda: "") -> None:
+        """`most` callers at a time: the oldest makes room.
+
+        `moved` is told after a call that changed the phase; `stand` gives figures for the answer.
+        """
+        self.loop, self.life, self.name, self.most = loop, life, name, most
+        self.moved, self.stand = moved, stand
         self.callers: dict[Caller, None] = {}   # the oldest first
         self.listener: asyncio.Server | None = None
 
@@ -94,7 +97,7 @@
     def take(self, caller: Caller) -> None:
         """Guards the descriptors: callers that say nothing cost a later one no answer."""
         self.callers[caller] = None
-        if len(self.callers) > MOST_CALLERS:
+        if len(self.callers) > self.most:
             oldest = next(iter(self.callers))
             del self.callers[oldest]
             oldest.transport.abort()
--- a/fennelpoint/standins/process.py
+++ b/fennelpoint/standins/process.py
@@ -64,12 +64,17 @@
     """`python -m fennelpoint` with its files; a context manager that leaves nothing behind."""
 
     def __init__(self, settings: dict, discovery: str, counter: str, description: str | Path | None = None,
-                 sockets: int = 4096, operator: str = "") -> None:
+                 sockets: int = 4096, operator: str = "", inherited: socket.socket | None = None,
+                 common: str = "") -> None:
+        """With a socket to be inherited, `common` is the folder of all processes that inherit it."""
         self.folder = tempfile.TemporaryDirectory(prefix="larchwing-")
-        self.address = ("127.0.0.1", free_port())
+        self.inherited, self.common = inherited, common
+        self.address = ("127.0.0.1", free_port()) if inherited is None else inherited.getsockname()
+        self.door = ("127.0.0.1", free_port())
         root = Path(self.folder.name)
         config = {"name": "n0", "listen": f"127.0.0.1:{self.address[1]}", "discovery": discovery,
-                  "counter": counter, "seed": "7", "limits": {"sockets": sockets}, "settings": settings}
+                  "counter": counter, "seed": "7", "operator": "{}:{}".format(*self.door),
+                  "limits": {"sockets": sockets}, "settings": settings}
         self.config, self.operator, self.log = root / "config.json", root / "operator.toml", root / "log"
         self.config.write_text(json.dumps(config))
         self.has_operator = description is not None
@@ -84,19 +89,37 @@
         env.pop("LARCHWING_OPERATOR", None)
         if self.has_operator:
             env["LARCHWING_OPERATOR"] = str(self.operator)
+        held = () if self.inherited is None else (self.inherited.fileno(),)
+        if held:
+            env.update(BALANCER_SOCKET_FD=str(held[0]), TMPDIR=self.common)
         with self.log.open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "fennelpoint", stdout=log, stderr=log, env=env, start_new_session=True)
+                sys.executable, "-m", "fennelpoint", stdout=log, stderr=log, env=env, start_new_session=True,
+                pass_fds=held)
         for _ in range(int(seconds / 0.05)):
             if self.process.returncode is not None:
                 break
-            if await self._ready():
+            if (await self.call("ready")).startswith("ACK") if held else await self._ready():
                 return
             await asyncio.sleep(0.05)
         text = self.log.read_text(errors="replace")
         await self.stop()
         raise RuntimeError(f"the ingress did not become ready:\n{text}")
 
+    async def call(self, line: str) -> str:
+        """A call at its door; empty where nobody answers."""
+        try:
+            reader, writer = await asyncio.open_connection(*self.door)
+        except OSError:
+            return ""
+        try:
+            writer.write(line.encode() + b"\n")
+            return (await reader.read()).decode()
+        except OSError:
+            return ""
+        finally:
+            writer.close()
+
     async def _ready(self) -> bool:
         try:
             reader, writer = await asyncio.open_connection(*self.address)
