--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -218,7 +218,7 @@
             self.follower.start()
         if self.beat is not None:
             self.beat.start()
-        self.loop.call_later(LIST_WAIT, self._go_by_known)
+        self.loop.call_later(0.0 if self.discovery.late else LIST_WAIT, self._go_by_known)
         self.loop.call_later(SWEEP, self._sweep)
         if self.relay is not None:
             from fennelpoint.succession import Succession
--- a/fennelpoint/net/discovery.py
+++ b/fennelpoint/net/discovery.py
@@ -138,12 +138,17 @@
         Guards discovery against a fleet that comes back at once: calls that all arrive together wait past
         their time, fail, and have taken the service's time all the same.
         """
-        if self.settings.discovery == "ask" and self.known_revision is not None:
+        if self.late:
             self.revision = self.known_revision
             self.timer = self.loop.call_later(random.uniform(0.0, self._spread()), self._ask)
         else:
             self._ask()
 
+    @property
+    def late(self) -> bool:
+        """Whether the first answer is not to be waited for: a list is known, and asking is put off."""
+        return self.settings.discovery == "ask" and self.known_revision is not None
+
     def _spread(self) -> float:
         """Seconds over which all ingresses' calls are spread, so that a small service can answer each."""
         return min(TURNED_MOST, TURNED_EACH * self.settings.ingresses)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -120,3 +120,17 @@
     deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
     assert all((ROOT / path).exists() for path in deploy["policy"] + deploy["node"])
     assert deploy["run"].endswith("-m fennelpoint") and deploy["sim"].endswith("-m fennelpoint.adapter")
+
+
+def test_a_restart_goes_by_the_list_it_knew_at_once_where_asking_is_put_off(tmp_path):
+    """Discovery is asked at a time of our own there; waiting for it left clients without an ingress."""
+    settings = {**SETTINGS, "discovery": "ask", "balancers": 40}
+    process = start(tmp_path / "config.json", config(settings=settings))
+    try:
+        lines = [process.stderr.readline() for _ in range(1)]
+        while b"is ready" not in lines[-1]:
+            lines.append(process.stderr.readline())
+        assert not any(b"discovery" in line for line in lines)
+    finally:
+        process.kill()
+        process.communicate()
