--- a/fennelpoint/standins/process.py
+++ b/fennelpoint/standins/process.py
@@ -65,8 +65,12 @@
 
     def __init__(self, settings: dict, discovery: str, counter: str, description: str | Path | None = None,
                  sockets: int = 4096, operator: str = "", inherited: socket.socket | None = None,
-                 common: str = "") -> None:
-        """With a socket to be inherited, `common` is the folder of all processes that inherit it."""
+                 common: str = "", tree: Path | None = None) -> None:
+        """With a socket to be inherited, `common` is the folder of all processes that inherit it.
+
+        `tree` is another checkout of the program to run.
+        """
+        self.tree = tree
         self.folder = tempfile.TemporaryDirectory(prefix="larchwing-")
         self.inherited, self.common = inherited, common
         self.address = ("127.0.0.1", free_port()) if inherited is None else inherited.getsockname()
@@ -95,7 +99,7 @@
         with self.log.open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "fennelpoint", stdout=log, stderr=log, env=env, start_new_session=True,
-                pass_fds=held)
+                pass_fds=held, cwd=self.tree)
         for _ in range(int(seconds / 0.05)):
             if self.process.returncode is not None:
                 break
