Cells: agencies confined to subsets of nodes, windows by cell, bounded spill; off

Need: one agency's flood or one release that kills what it touches harmed all.

Found by hypothesis: a waiting try that may have run went to another cell's books when its agency was moved; it stays where it ran now. Found by a test: a cell whose list came after the plan kept a first window of one.

--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -31,6 +31,7 @@
 from fennelpoint.settings import from_json
 
 if TYPE_CHECKING:   # loaded only where there is an operator file
+    from fennelpoint.cells import Plan as CellPlan
     from fennelpoint.operator import Operator
     from fennelpoint.routes.worker import End
 
@@ -58,6 +59,7 @@
     known: Listing | None
     operator: Operator | None = None    # what the operator file says; none: there is no such file
     read: End | None = None     # the description that the operator file names, as it was read
+    cells: CellPlan | None = None   # the plan that the operator file names
     door: Address | None = None     # where operators call; none: there is no door
     inherited: socket.socket | None = None  # the clients' listening socket, where the platform holds it
     memory_mb: float = MEMORY_MB
@@ -128,6 +130,10 @@
     from fennelpoint.operator import read_operator
 
     config.operator = read_operator(path)
+    if config.operator.cells is not None:
+        from fennelpoint.cells import read_plan
+
+        config.cells = read_plan(config.operator.cells.plan)
     if (routes := config.operator.routes) is not None:
         from fennelpoint.routes.worker import read_now
 
@@ -151,6 +157,7 @@
         self.counter = Counter(loop, *config.counter, settings.counter_timeout) if (
             config.counter is not None and settings.has_counter) else None
         self.host = Host(loop, settings, config.seed, self.backends, self.counter, self.budget)
+        self.host.cells = self._cells()
         self.discovery = Discovery(loop, config.discovery, settings, self.follow)
         self.listed = False     # there is a list to go by
         self.coming: Discovery | None = None    # a new discovery that has not told its list yet
@@ -174,6 +181,15 @@
         state = "up" if self.life.ready else "starting" if self.life.keeps else "draining"
         return state, self.counter is None or self.counter.answers
 
+    def _cells(self):
+        """The cells, where the operator file names a plan; their part is loaded only then."""
+        if self.config.cells is None:
+            return None
+        from fennelpoint.cells.service import CellsService
+
+        return CellsService(self.config.operator.cells.plan, self.config.cells, self.config.settings.zones,
+                            self.host.post)
+
     def _door(self):
         """The operators' door, where there is one; its part is loaded only then."""
         if self.config.door is None:
@@ -269,6 +285,8 @@
         if self.life.ending:
             return
         self._reload_routes()
+        if self.host.cells is not None:
+            self.host.cells.reload()
         try:
             config = read_config(self.path)
         except ConfigError as error:
--- a/fennelpoint/checks.py
+++ b/fennelpoint/checks.py
@@ -4,6 +4,7 @@
 
 from pathlib import Path
 
+from fennelpoint.cells import read_plan
 from fennelpoint.faults import Fault, FaultyFile
 from fennelpoint.operator import Announce, Control, read_operator
 from fennelpoint.routes.description import Site, load
@@ -22,6 +23,11 @@
         except FaultyFile as error:
             return error.faults
         faults = list(load(operator.routes.description, site).faults) if operator.routes is not None else []
+        if operator.cells is not None:
+            try:
+                read_plan(operator.cells.plan)
+            except FaultyFile as error:
+                faults += error.faults
         return faults + [fault for section in (operator.control, operator.announce) if section is not None
                          for fault in _section(section, file)]
     if suffix not in DESCRIPTIONS:
--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -14,7 +14,7 @@
 from fennelpoint import interface as api
 from fennelpoint.choice import cold_odds, cold_share
 from fennelpoint.handover import share_out, take, take_health
-from fennelpoint.state import Ask, Backend, Customer, Cut, Try
+from fennelpoint.state import Ask, Backend, Crowd, Customer, Cut, Try
 from fennelpoint.tally import EPOCH, LIFE, MARK, NEW, level_of, name_of, owed
 from fennelpoint.upkeep import Fleet, Line, Sums, Timers, fill, forget, new_total, same_group, settled
 
@@ -44,6 +44,7 @@
 EVIDENCE, STUCK = 8, 1.0    # answers between two cuts of the window; aims after which an attempt is stuck
 FIRST_OUT, WINDOW_CUT, LEAST_OUT = 12.0, 0.85, 0.1  # own attempts out: a backend at first, of all; cut; least
 NEAR_TIE, CANDIDATES = 1.15, 16  # how much better another zone must be; an own part of a large fleet
+SPARE = 0.25    # of a window, that tries of other cells leave free
 HERD, SEES = 0.2, 4.0   # least random part of a wait; ingresses up to which own work out tells most of it
 PROBES, PROBE_WAIT = 2, 0.05  # backends probed for a try by those who see little, and s that it waits
 PROBE_WORTH = 0.02  # of the result: what one probe a try brings at most; a dearer one is left
@@ -81,8 +82,8 @@
         self.typical = [FIRST_GUESS * c.aim for c in settings.classes]  # latency of a class, uncrowded
         self.usual = list(self.typical)  # and as it is now
         self.fit, self.work, self.period_at = Fit(), 0.0, now
-        self.evidence, self.stuck = 0, 0    # answers since the last cut; attempts out that are late by far
-        self.window, self.pressure, self.cut_at, self.rest_until = 0.0, 0.0, now, now  # own attempts out
+        self.crowd = Crowd(now, now)    # of all backends
+        self.cells: dict[str, Crowd] = {}   # by name; none: there are no cells
         self.retries, self.cut, self.pressed = RETRY_BURST, None, False
         self.answers, self.silent_at = 0, -inf  # in a row, below 0 calls lost; when several were
         self.asking, self.usual_held = 1.0, 0.0  # share of sparse tries that ask; requests a backend reports
@@ -95,7 +96,8 @@
         self.on = {api.Request: self._admit, api.Outcome: self._outcome, api.Roster: self._roster,
                    api.ProbeResult: self._probed, api.TimerDue: self._timer, api.CounterReply: self._counted,
                    api.ClientGone: self._gone, api.StreamStarted: self._began, api.Arrived: self._arrived,
-                   api.Spent: self._spent, api.Twins: lambda e, now: share_out(self, e.parts),
+                   api.Spent: self._spent, api.Cells: self._cells,
+                   api.Twins: lambda e, now: share_out(self, e.parts),
                    api.Told: self._told}
 
     def start(self, now: float) -> list[api.Action]:
@@ -312,7 +314,8 @@
         came = now + ask.coming
         ends = came + ask.time_left - 2 * PUMP - self.settings.tick  # the last answer that is surely in time
         half = came + ask.time_left / 2 - 2 * PUMP - self.settings.tick
-        t = Try(ask, c, came + min(cls.aim, ask.time_left), ends, cls.worth * plan.price, half, came_at=came)
+        t = Try(ask, c, came + min(cls.aim, ask.time_left), ends, cls.worth * plan.price,
+                self.cells.get(ask.cell, self.crowd), half, came_at=came)
         self.line.open[ask.request], c.worth = t, max(c.worth, t.worth)
         if t.worth >= c.top or now - c.top_at > SHORT_FOR:
             c.top, c.top_at = t.worth, now
@@ -325,6 +328,8 @@
     def _enter(self, t: Try, now: float) -> None:
         """Send a new try, hold it while its aim can be met, or refuse it at once."""
         c, ask, plan = t.customer, t.ask, self.settings.plans[t.ask.plan]
+        if self.cells and not self._route(t, now):
+            return self._refuse(t, now, REST_MOST)
         # Guards dear tries that are wanted soon: the line is kept by worth, and cheap ones come after.
         ahead = c.ahead(t.worth)
         queued = t.inside is None and ahead > 0.0 and c.level < ahead + ask.units
@@ -354,7 +359,8 @@
             if not inside and (plan.over_worth <= 0.0 or self.pressed):
                 c.short_at = now
                 return False
-        full = now < self.rest_until or self._out() >= max(1.0, self.window if inside else self.window / 2)
+        crowd, most = t.crowd, t.crowd.window if inside else t.crowd.window / 2
+        full = now < crowd.rest_until or crowd.quiet() >= max(1.0, most)
         if full or (b := self._choose(t, now)) is None:
             return False
         if not t.charged:
@@ -374,14 +380,6 @@
         self.out.append(api.Send(t.ask.request, b.entry.backend))
         return True
 
-    def _out(self) -> int:
-        """Attempts out that tell of a crowd.
-
-        Guards an ingress with few of them: those that a silent backend holds are not in anybody's way, and
-        filled a window of two until their deadlines.
-        """
-        return self.fleet.out - min(self.stuck, self.fleet.out // 2)
-
     def _kept(self, t: Try, now: float) -> float:
         """Units of a short customer's bucket that its cheap tries leave to the dear ones it asks for, too.
 
@@ -417,8 +415,11 @@
         """Release held tries, the highest worth first; end those that can't make it any more."""
         soonest = inf
         for t in self.line.by_worth():
+            if self.cells and not self._route(t, now):
+                self._refuse(t, now, REST_MOST)
+                continue
             # Once as much is out as may be, the rest needn't ask: guards the CPU with a long line.
-            if now >= t.not_before and self._out() < max(1.0, self.window) and self._place(t, now):
+            if now >= t.not_before and t.crowd.quiet() < max(1.0, t.crowd.window) and self._place(t, now):
                 continue
             if now >= t.last:
                 t.customer.ratios.append(1.0)
@@ -461,8 +462,8 @@
         t.aim_at, t.ends, t.half, t.last = t.aim_at + later, t.ends + later, t.half + later, t.last + later
         for b in self.fleet.busy.values():
             if t.ask.request in b.out:
-                work, _, aim, customer = b.out[t.ask.request]
-                b.out[t.ask.request] = (work, now, aim, customer)
+                work, _, aim, _ = b.out[t.ask.request]
+                b.out[t.ask.request] = (work, now, aim, t)
         if t.ask.request in self.line.held:
             self._hold(t, now)
 
@@ -471,8 +472,9 @@
         b, t = self.fleet.known.get(event.backend), self.line.open.get(event.request)
         if b is not None and event.request in b.out:
             o = api.Outcome(event.request, event.attempt, event.backend, api.Status.OK, event.latency, False)
+            crowd = b.out[event.request][3].crowd
             self.fleet.begin(b, event.request)
-            self._learn(b, o, t, now)
+            self._learn(b, o, t, crowd, now)
         if t is not None:
             aim = self.settings.classes[t.ask.cls].aim
             t.customer.ratios.append((now - (t.aim_at - aim)) / aim)
@@ -483,8 +485,9 @@
     def _outcome(self, o: api.Outcome, now: float) -> None:
         backend, t = self.fleet.known.get(o.backend), self.line.open.get(o.request)
         if backend is not None and o.request in backend.out:
+            crowd = backend.out[o.request][3].crowd
             self.fleet.answer(backend, o.request)
-            self._learn(backend, o, t, now)
+            self._learn(backend, o, t, crowd, now)
         elif backend is not None and o.request in backend.begun:
             self.fleet.answer(backend, o.request)
             if o.status in (api.Status.RESET, api.Status.ERROR):    # its answer broke
@@ -514,15 +517,64 @@
         if roster.kind is api.RosterKind.FAILED:
             return self.out.append(api.Subscribe())
         self.fleet.follow(roster, self.random, now)
-        self.window = self.window or max(1.0, FIRST_OUT * len(self.fleet.ready) / self.settings.ingresses
-                                         / self.parts)
+        self._first_windows()
         for b in self.fleet.known.values() if self.health else ():
             take_health(self, b, now)
 
+    def _first_windows(self) -> None:
+        for crowd in (self.crowd, *self.cells.values()):
+            crowd.ready = None
+            if not crowd.window and (size := len(self._ready(crowd))):
+                crowd.window = max(1.0, FIRST_OUT * size / self.settings.ingresses / self.parts)
+
+    def _ready(self, crowd: Crowd) -> list[Backend]:
+        """The backends of a cell that something may be sent to, in our order."""
+        if crowd.ready is None:
+            every, members = self.fleet.ready, crowd.members
+            crowd.ready = every if members is None else [b for b in every if b.entry.backend in members]
+        return crowd.ready
+
+    def _cells(self, event: api.Cells, now: float) -> None:
+        """New cells: what is out stays where it is, what waits goes with its customer."""
+        before, self.cells = self.cells, {}
+        for name, cell in event.cells.items():
+            crowd = self.cells[name] = before.get(name) or Crowd(now, now)
+            crowd.members, crowd.ready = cell.members, None
+            crowd.spill_to, crowd.spill_share = cell.spill_to, cell.spill_share
+        self._first_windows()
+        for t in self.line.held.values():
+            if t.ran_at is None:    # else it is tried again where it may have run, or nowhere
+                t.ask.cell = event.moved.get(t.customer.key, t.ask.cell)
+        self._pump(now)
+
+    def _lost(self, crowd: Crowd, now: float) -> bool:
+        """Whether none of a cell's backends is listed, or each one failed and rests."""
+        return all(b.fails and now < b.rest_until for b in self._ready(crowd))
+
+    def _route(self, t: Try, now: float) -> bool:
+        """Whether a try's cell, or for a few the one that this spills to, may serve it.
+
+        What may have run stays where it did.  The other cell's own tries come first: it takes some of these
+        while it has room to spare.
+        """
+        home = self.cells.get(t.ask.cell, self.crowd)
+        if t.ran_at is not None:
+            return True
+        t.crowd, t.spills = home, False
+        if not self._lost(home, now):
+            return True
+        if (other := self.cells.get(home.spill_to)) is None or self._lost(other, now):
+            return False
+        spare = other.quiet() + 1 <= max(1.0, (1.0 - SPARE) * other.window)
+        if not spare or other.spilt + 1 > max(1.0, home.spill_share * other.window):
+            return False
+        t.crowd, t.spills = other, True
+        return True
+
     def _choose(self, t: Try, now: float) -> Backend | None:
         """The backend with the least expected wait, among some at random, that may take this try."""
         cls, able = self.settings.classes[t.ask.cls], []
-        ready = self.fleet.ready if self._allowed(t, now) else []
+        ready = self._ready(t.crowd) if self._allowed(t, now) else []
         if t.ran_at is not None and cls.effect is api.Effect.KEYED and cls.group is not api.Group.ALL:
             ready = same_group(ready, t.ran_on, "zone" if cls.group is api.Group.ZONE else "cell")
         for pool in (t.picked or (), ready[:CANDIDATES], ready):  # our part of the fleet: few connections
@@ -578,14 +630,14 @@
         # Where nothing is told: guards against reports that stop just from the busy ones.
         b.reported, b.reported_at = held if told else max(b.reported, 2.0 * self.usual_held), now
 
-    def _learn(self, b: Backend, o: api.Outcome, t: Try | None, now: float) -> None:
+    def _learn(self, b: Backend, o: api.Outcome, t: Try | None, crowd: Crowd, now: float) -> None:
         self._report(b, o.report, now) if o.report else None
         if o.status is api.Status.FULL:
             b.rest_until = now + 2 * PAUSE_FULL
             # Guards against a stop of all for a few that were turned away: no latency tells of a crowd here,
             # so it takes most of them to cut, and no sooner than an answer would show the last cut.  It
             # covers backends at their end and short queues; a fleet that is full to the brim is cut later.
-            self._press(2.0 * TARGET, max(self.usual), now)
+            self._press(crowd, 2.0 * TARGET, max(self.usual), now)
         elif o.status is api.Status.OK and t is not None and 0.0 <= o.latency < inf:
             cls, aim, slow, b.fails = t.ask.cls, self.settings.classes[t.ask.cls].aim, self._slow(b, now), 0
             gap = o.latency - self.typical[cls]
@@ -593,7 +645,7 @@
                 self.typical[cls] += gap * (SLOWER if gap > 0 else FASTER)
             self.usual[cls] += LEARN * (min(o.latency, aim / 2 / LATE_MARGIN) - self.usual[cls])
             b.slow, b.slow_at = slow + LEARN * (o.latency / self.typical[cls] - slow), now
-            self._press(o.latency / aim - min(TARGET, self.typical[cls] / aim), o.latency, now)
+            self._press(crowd, o.latency / aim - min(TARGET, self.typical[cls] / aim), o.latency, now)
         elif o.status not in (api.Status.OK, api.Status.CANCELLED, api.Status.MOOT):
             # Guards against blaming one event for each attempt that it ended: when all connections break at
             # once, a backend that is well again would be shunned for many seconds.
@@ -602,18 +654,18 @@
                 b.fails, b.rest_until = b.fails + 1, now + min(REST_MOST, 2 * PUMP * 2.0 ** b.fails)
                 b.failed_at = now
 
-    def _press(self, ratio: float, latency: float, now: float) -> None:
+    def _press(self, crowd: Crowd, ratio: float, latency: float, now: float) -> None:
         """More attempts may be out while little of the aim is lost to crowding; under one, we rest."""
         # Counts what comes very late as one aim: guards against a few stalled backends that stop us all.
         # Guards an ingress with few answers: cut once in the time one takes, by the mean of five, it is cut
         # by chance sooner than its few answers grow it, though most of the fleet is idle.
-        self.pressure += LEARN * (min(1.0, ratio) - self.pressure)
-        self.evidence += 1
-        if self.pressure <= TARGET and self.fleet.out + 1 >= self.window:
-            self.window += min(self.window, 1.0 / self.window)
-        elif self.pressure > TARGET and now - self.cut_at > latency and self.evidence >= EVIDENCE:
-            self.window, self.cut_at, self.evidence = max(LEAST_OUT, self.window * WINDOW_CUT), now, 0
-        self.rest_until = now + min(REST_MOST, latency * max(0.0, 1.0 / self.window - 1.0))
+        crowd.pressure += LEARN * (min(1.0, ratio) - crowd.pressure)
+        crowd.evidence += 1
+        if crowd.pressure <= TARGET and crowd.out + 1 >= crowd.window:
+            crowd.window += min(crowd.window, 1.0 / crowd.window)
+        elif crowd.pressure > TARGET and now - crowd.cut_at > latency and crowd.evidence >= EVIDENCE:
+            crowd.window, crowd.cut_at, crowd.evidence = max(LEAST_OUT, crowd.window * WINDOW_CUT), now, 0
+        crowd.rest_until = now + min(REST_MOST, latency * max(0.0, 1.0 / crowd.window - 1.0))
 
     def _activate(self, c: Customer, now: float) -> None:
         self.active[c.key] = c
@@ -624,11 +676,13 @@
     def _period(self, now: float) -> None:
         span, self.period_at = max(1e-6, now - self.period_at), now
         # Guards against a back end that slows or stalls: its answers tell only once they come.
-        ages = sorted(self.fleet.ages(now))
-        self.stuck = sum(age > STUCK for age in ages)
-        if ages and (age := ages[len(ages) // 2]) > max(TARGET, self.pressure):
-            self.evidence += len(ages)
-            self._press(age, PERIOD, now)
+        by_crowd = self.fleet.ages(now)
+        for crowd in (self.crowd, *self.cells.values()):
+            ages = sorted(by_crowd.get(crowd, ()))
+            crowd.stuck = sum(age > STUCK for age in ages)
+            if ages and (age := ages[len(ages) // 2]) > max(TARGET, crowd.pressure):
+                crowd.evidence += len(ages)
+                self._press(crowd, age, PERIOD, now)
         self._regulate(now, span)
         for c in [c for c in self.active.values() if c.cap is not None and c.seen < now - FORGET]:
             c.cap = None    # guards the memory: one that is cut is not forgotten, and this one is gone
--- a/fennelpoint/handover.py
+++ b/fennelpoint/handover.py
@@ -10,7 +10,7 @@
 from math import isfinite
 from typing import TYPE_CHECKING
 
-from fennelpoint.state import Backend, Customer
+from fennelpoint.state import Backend, Crowd, Customer
 
 if TYPE_CHECKING:
     from fennelpoint.control import Controller
@@ -21,7 +21,8 @@
 SPLIT = ("level", "ceiling")                # of a customer's stores, to each its part
 OWED = ("fresh", "untold", "untold_at")     # taken, and not yet told to the counter
 HEALTH = ("slow", "slow_at", "fails", "failed_at", "rest_until")
-OWN = {"window": (1.0, 1e5), "pressure": (0.0, 1.0), "usual_held": (0.0, 1e5), "usual_worth": (1e-3, 1e6),
+CROWD = {"window": (1.0, 1e5), "pressure": (0.0, 1.0)}
+OWN = {"usual_held": (0.0, 1e5), "usual_worth": (1e-3, 1e6),
        "asking": (0.1, 1.0), "answers": (-1000, 1000), "silent_at": (-1e12, 1e12), "retries": (0.0, 10.0)}
 MOST_SLOW, MOST_FAILS, MOST_REST = 10.0, 60, 5.0    # of a backend; s
 
@@ -33,7 +34,12 @@
         c.width, c.share = c.width * factor, min(1.0, c.share / factor)
         if factor > 1.0:
             c.level, c.ceiling = c.level / factor, c.ceiling / factor
-    control.window = max(1.0, control.window / factor) if control.window else 0.0
+    for crowd in (control.crowd, *control.cells.values()):
+        crowd.window = max(1.0, crowd.window / factor) if crowd.window else 0.0
+
+
+def _crowds(control: Controller) -> dict[str, Crowd]:
+    return {"": control.crowd, **control.cells}
 
 
 def _finite(values: Iterable[object]) -> bool:
@@ -54,7 +60,9 @@
     backends = {b.entry.backend: [b.entry.started_at, *(getattr(b, n) for n in HEALTH)]
                 for b in control.fleet.known.values() if b.fails or b.slow != 1.0}
     return {"customers": customers, "backends": backends, "typical": control.typical, "usual": control.usual,
-            "odds": control.odds, **{n: getattr(control, n) for n in OWN if isfinite(getattr(control, n))}}
+            "odds": control.odds, "crowds": {
+                name: [getattr(crowd, n) for n in CROWD] for name, crowd in _crowds(control).items()},
+            **{n: getattr(control, n) for n in OWN if isfinite(getattr(control, n))}}
 
 
 def tell_rest(control: Controller) -> dict:
@@ -73,8 +81,13 @@
     for name, (low, high) in OWN.items():
         if _finite([value := told.get(name)]):
             setattr(control, name, type(low)(min(high, max(low, value))))
-    if _finite([told.get("window")]):
-        control.window = max(1.0, control.window / control.parts)
+    crowds = told.get("crowds") if isinstance(told.get("crowds"), dict) else {}
+    for name, crowd in _crowds(control).items():
+        values = crowds.get(name)
+        if isinstance(values, list) and len(values) == len(CROWD) and _finite(values):
+            for (own, (low, high)), value in zip(CROWD.items(), values, strict=True):
+                setattr(crowd, own, min(high, max(low, value)))
+            crowd.window = max(1.0, crowd.window / control.parts)
     for name in ("typical", "usual"):
         values, own = told.get(name), getattr(control, name)
         if isinstance(values, list) and len(values) == len(own) and _finite(values) and min(values) > 0.0:
--- a/fennelpoint/interface.py
+++ b/fennelpoint/interface.py
@@ -182,6 +182,7 @@
     is_repeat: bool = False
     is_write: bool = False
     coming: float = 0.0     # s until its last byte should have come; its times count from there
+    cell: str = ""          # whose backends may serve it; none: all
 
 
 @dataclass(slots=True)
@@ -198,6 +199,23 @@
     request: int
 
 
+@dataclass(slots=True)
+class Cell:
+    """A subset of the backends, and where its tries may go while none of them is left."""
+
+    members: frozenset
+    spill_to: str = ""
+    spill_share: float = 0.0    # of that cell's window of attempts
+
+
+@dataclass(slots=True)
+class Cells:
+    """All cells by name from now on, and the customers that were moved; waiting tries go with them."""
+
+    cells: dict[str, Cell]
+    moved: dict[int, str] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class Twins:
     """So many processes are this ingress from now on; this one has its part of what an ingress may take."""
@@ -267,7 +285,7 @@
     latency: float
 
 
-Event = (Roster | Request | Arrived | Spent | Twins | Told | Outcome | StreamStarted | ClientGone
+Event = (Roster | Request | Arrived | Spent | Cells | Twins | Told | Outcome | StreamStarted | ClientGone
          | TimerDue | ProbeResult | PeerMessage | CounterReply)
 
 
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from fennelpoint import interface as api
 from fennelpoint.bodies import Budget, Upload
@@ -22,6 +22,9 @@
 from fennelpoint.net.driver import Clock, Driver
 from fennelpoint.net.notice import complain, log
 
+if TYPE_CHECKING:   # loaded only where the operator file names a plan
+    from fennelpoint.cells.service import CellsService
+
 
 class Source(Protocol):
     """Where an answer that is passed on as it comes is read from."""
@@ -89,6 +92,7 @@
                  backends: Backends, counter: Counter | None, budget: Budget) -> None:
         self.loop, self.settings, self.backends, self.budget = loop, settings, backends, budget
         self.clock = Clock()
+        self.cells: CellsService | None = None  # where the operator file names a plan
         driver = Driver(loop, self.clock, counter, self.post)
         self.tickets: dict[int, Ticket] = {}
         self.open_ids: set[bytes] = set()   # of the tickets, as the clients named them
@@ -142,6 +146,8 @@
     def follow(self, roster: api.Roster, addresses: dict[str, tuple[str, int]]) -> None:
         """What discovery told: the sockets keep to it from now on, then the module hears of it."""
         self.backends.follow(roster, addresses)
+        if self.cells is not None:
+            self.cells.follow(roster)
         self.post(roster)
 
     def admit(self, client: Client, asked: Asked) -> int:
@@ -156,7 +162,8 @@
         if asked.upload is None:
             ticket.timer = self.loop.call_later(asked.time_left, self._expire, ticket)
         self.post(api.Request(ticket.id, asked.cls, asked.plan, asked.customer, asked.time_left, asked.units,
-                              asked.width, asked.first, asked.is_repeat, asked.is_write, asked.coming))
+                              asked.width, asked.first, asked.is_repeat, asked.is_write, asked.coming,
+                              self.cells.cell_of(asked.customer) if self.cells is not None else ""))
         return ticket.id
 
     def came(self, request: int) -> None:
--- a/fennelpoint/operator.py
+++ b/fennelpoint/operator.py
@@ -122,6 +122,13 @@
     peers: list[BgpPeer] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class Cells:
+    """[cells]: agencies confined to subsets of the nodes, by a plan of its own file (docs/cells.md)."""
+
+    plan: str = path_field()
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """The whole file; a part that is None is off."""
@@ -130,10 +137,35 @@
     routes: Routes | None = None
     control: Control | None = None
     announce: Announce | None = None
+    cells: Cells | None = None
+
+
+class Faults:
+    """Gathers further faults of a file that was read, at the lines of their places."""
+
+    def __init__(self, reader: _Reader) -> None:
+        self.reader = reader
+
+    def __call__(self, place: tuple[str, ...], text: str) -> None:
+        self.reader.fault(place, text)
+
+    def end(self) -> None:
+        """Raises FaultyFile where there was any."""
+        if self.reader.faults:
+            raise FaultyFile(sorted(self.reader.faults))
 
 
 def read_operator(path: str | Path) -> Operator:
     """The operator file, checked.  Raises FaultyFile with every fault found, each with its line."""
+    operator, fault = read_typed(path, Operator)
+    if operator is not None and operator.schema != SCHEMA:
+        fault(("schema",), f"{operator.schema} is not known here: this program reads {SCHEMA}")
+    fault.end()
+    return operator
+
+
+def read_typed(path: str | Path, cls: type) -> tuple[object | None, Faults]:
+    """A TOML file as a dataclass, none where it has faults, and where to add others."""
     path, name = Path(path), str(path)
     try:
         with path.open("rb") as file:
@@ -154,12 +186,7 @@
         line = int(match[1]) if match else text.count("\n") + 1
         raise FaultyFile([Fault(name, line, "", f"it is not TOML: {AT_LINE.sub('', str(error))}")]) from None
     reader = _Reader(path, name, _lines(text))
-    operator = reader.read(Operator, value, ())
-    if operator is not None and operator.schema != SCHEMA:
-        reader.fault(("schema",), f"{operator.schema} is not known here: this program reads {SCHEMA}")
-    if reader.faults:
-        raise FaultyFile(sorted(reader.faults))
-    return operator
+    return reader.read(cls, value, ()), Faults(reader)
 
 
 HEADER = re.compile(r"\s*\[\[?\s*([^\[\]]+?)\s*\]\]?\s*(#.*)?$")
--- a/fennelpoint/standins/world.py
+++ b/fennelpoint/standins/world.py
@@ -9,6 +9,7 @@
 import uvloop
 
 from fennelpoint.__main__ import Config, Ingress
+from fennelpoint.cells import read_plan
 from fennelpoint.faults import FaultyFile
 from fennelpoint.net.discovery import parse_address, parse_list
 from fennelpoint.operator import Operator
@@ -57,6 +58,8 @@
             config.read = read_now(routes.description, settings, routes.load_memory_mb, routes.load_timeout_s)
             if config.read.faults:
                 raise FaultyFile(list(config.read.faults))
+        if self.operator is not None and self.operator.cells is not None:
+            config.cells = read_plan(self.operator.cells.plan)
         self.ingress = Ingress(asyncio.get_running_loop(), config)
         await self.ingress.start()
         self.address = self.ingress.server.listener.sockets[0].getsockname()
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -9,14 +9,40 @@
 from fennelpoint.interface import BackendEntry, BackendState, Request
 
 
+@dataclass(slots=True, eq=False)
+class Crowd:
+    """What tells how crowded the backends of a cell are; one for all where there are no cells."""
+
+    cut_at: float           # when the window was last cut
+    rest_until: float       # nothing is sent before
+    members: frozenset | None = None    # the backends; none: all
+    spill_to: str = ""      # the cell that may take what this one can't, while that has room
+    spill_share: float = 0.0    # of that one's window, out at a time
+    window: float = 0.0     # own attempts out
+    pressure: float = 0.0
+    evidence: int = 0       # answers since the last cut
+    stuck: int = 0          # attempts out that are late by far
+    out: int = 0            # attempts out
+    spilt: int = 0          # of these, of cells that have nothing left
+    ready: list[Backend] | None = None  # of its backends those that something may be sent to
+
+    def quiet(self) -> int:
+        """Attempts out that tell of a crowd.
+
+        Guards an ingress with few of them: those that a silent backend holds are not in anybody's way, and
+        filled a window of two until their deadlines.
+        """
+        return self.out - min(self.stuck, self.out // 2)
+
+
 @dataclass(slots=True, eq=False)
 class Backend:
     entry: BackendEntry
     rank: float             # its place in the order of this ingress: each has another one
     slow_at: float          # when its slowness was last brought up to date
-    out: dict[int, tuple[float, float, float, Customer]] = field(default_factory=dict)
-    # attempts out, by request: work, sent at, aim, customer
-    begun: dict[int, Customer] = field(default_factory=dict)   # answers under way: whose, by request
+    out: dict[int, tuple[float, float, float, Try]] = field(default_factory=dict)
+    # attempts out, by request: work, sent at, aim, and whose
+    begun: dict[int, Try] = field(default_factory=dict)   # answers under way, by request
     load: float = 0.0       # work out
     slow: float = 1.0       # latency over the class's typical one; failures add to it
     reported: float = 0.0   # requests it holds, by its own word
@@ -89,6 +115,7 @@
     aim_at: float
     ends: float
     worth: float
+    crowd: Crowd
     half: float = inf       # when half of its time is up
     attempts: int = 0
     reached: bool = False           # an attempt came to a backend
@@ -103,6 +130,7 @@
     last: float = 0.0               # when it is ended if it still waits
     picked: list[Backend] | None = None  # backends probed for it
     draw_at: float = 0.0            # when it may draw a cold backend again
+    spills: bool = False            # its own cell has nothing left: it goes to another
 
 
 @dataclass(slots=True, eq=False)
--- a/fennelpoint/upkeep.py
+++ b/fennelpoint/upkeep.py
@@ -10,7 +10,7 @@
 from random import Random
 
 from fennelpoint import interface as api
-from fennelpoint.state import Backend, Customer, Try
+from fennelpoint.state import Backend, Crowd, Customer, Try
 
 LEAST_UNITS = 1e-9  # less is what rounding leaves
 
@@ -97,21 +97,26 @@
         self.ready = sorted((b for b in self.known.values() if b.usable), key=lambda b: b.rank)
 
     def send(self, b: Backend, t: Try, work: float, aim: float, now: float) -> None:
-        b.out[t.ask.request] = (work, max(now, t.came_at), aim, t.customer)
+        b.out[t.ask.request] = (work, max(now, t.came_at), aim, t)
         b.load, self.busy[b.entry.backend] = b.load + work, b
         t.customer.open += 1
+        t.crowd.out += 1
+        t.crowd.spilt += t.spills
         self.out += 1
 
     def answer(self, b: Backend, request: int) -> None:
         """An attempt is not out any more, also where the client has left meanwhile."""
-        if (customer := b.begun.pop(request, None)) is None:
+        if (t := b.begun.pop(request, None)) is None:
             self.begin(b, request)
-            customer = b.begun.pop(request)
-        customer.open -= 1
+            t = b.begun.pop(request)
+        t.customer.open -= 1
 
     def begin(self, b: Backend, request: int) -> None:
         """Its answer is under way: the backend's work is done, and only its customer counts it as out."""
-        work, _, _, b.begun[request] = b.out.pop(request)
+        work, _, _, t = b.out.pop(request)
+        b.begun[request] = t
+        t.crowd.out -= 1
+        t.crowd.spilt -= t.spills
         self.out -= 1
         b.load = max(0.0, b.load - work) if b.out else 0.0
         if not b.out:
@@ -122,9 +127,13 @@
         tries = self.probing.pop(backend, ())
         return [t for t in tries if t.picked and all(b.entry.backend not in self.probing for b in t.picked)]
 
-    def ages(self, now: float) -> list[float]:
-        """How long each attempt is out, over its class's aim."""
-        return [(now - sent) / aim for b in self.busy.values() for _, sent, aim, _ in b.out.values()]
+    def ages(self, now: float) -> dict[Crowd, list[float]]:
+        """How long each attempt is out, over its class's aim, by crowd."""
+        ages: dict[Crowd, list[float]] = {}
+        for b in self.busy.values():
+            for _, sent, aim, t in b.out.values():
+                ages.setdefault(t.crowd, []).append((now - sent) / aim)
+        return ages
 
 
 class Sums:
--- /dev/null
+++ b/tests/cells/test_assign.py
@@ -0,0 +1,90 @@
+"""Assignment: alike everywhere, stable when nodes come and go, shares by weight, overlap of shards."""
+
+import subprocess
+import sys
+from math import comb
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fennelpoint.cells.assign import Assignment, Node, overlap
+from fennelpoint.cells.plan import CellSpec, Plan, Shards
+
+CELLS = Plan(1, salt="x", cells=[
+    CellSpec("east", nodes=["s-1", "t-*"], agencies=["00000000b4d65521"]),
+    CellSpec("hall", zones=["hall-a"], take=1.0), CellSpec("west", part=1.0, take=1.0),
+    CellSpec("north", part=3.0, take=2.0)])
+SHARDS = Plan(1, salt="x", shards=Shards(16, 4))
+IDS = st.sets(st.text("abcdef0123456789", min_size=1, max_size=6), min_size=1, max_size=40)
+
+
+def test_names_patterns_zones_and_parts_in_their_order():
+    members = Assignment(CELLS).members(
+        [Node("s-1", "hall-a"), Node("t-77"), Node("s-2", "hall-a"), *(Node(f"u{i}") for i in range(400))])
+    assert members["east"] == {"s-1", "t-77"} and members["hall"] == {"s-2"}
+    assert len(members["west"]) + len(members["north"]) == 400
+    assert 0.15 < len(members["west"]) / 400 < 0.35     # one part in four
+
+
+def test_agencies_by_name_and_by_take():
+    made = Assignment(CELLS)
+    assert made.cell_of(0xb4d65521) == "east" and "names it" in made.why(0xb4d65521)
+    found = [made.cell_of(c) for c in range(1, 4001)]
+    assert "east" not in found and 0.45 < found.count("north") / 4000 < 0.55
+    assert made.cell_of(7) == Assignment(CELLS).cell_of(7) and "by hash" in made.why(7)
+
+
+@pytest.mark.parametrize("plan", [CELLS, SHARDS])
+@given(ids=IDS, new=st.text("xyz", min_size=1, max_size=4))
+def test_a_node_that_joins_or_leaves_moves_only_itself(plan, ids, new):
+    before = Assignment(plan).members([Node(i) for i in sorted(ids)])
+    after = Assignment(plan).members([Node(i) for i in sorted(ids | {new})])
+    for name in before:
+        assert after[name] - before[name] <= {new}
+        lost = before[name] - after[name]
+        assert not lost or (plan is SHARDS and new in after[name] and len(lost) == 1)
+
+
+@given(ids=IDS)
+def test_the_order_of_the_roster_is_of_no_matter(ids):
+    for plan in (CELLS, SHARDS):
+        one = Assignment(plan).members([Node(i) for i in sorted(ids)])
+        assert one == Assignment(plan).members([Node(i) for i in sorted(ids, reverse=True)])
+
+
+def test_every_process_finds_the_same():
+    """Python's own hashes differ from process to process."""
+    program = ("from fennelpoint.cells.assign import *; from fennelpoint.cells.plan import *\n"
+               "a = Assignment(Plan(1, salt='x', shards=Shards(16, 4)))\n"
+               "members = a.members([Node(f'n{i}') for i in range(30)])\n"
+               "print([a.cell_of(c) for c in range(50)], sorted(members['shard-3']))")
+    seen = {subprocess.run([sys.executable, "-c", program], capture_output=True, check=True,
+                           env={"PYTHONHASHSEED": str(seed)}).stdout for seed in (1, 2)}
+    assert len(seen) == 1 and b"shard-" in seen.pop()
+
+
+def test_shards_have_their_size_and_overlap_as_chance_has_it():
+    members = Assignment(Plan(1, shards=Shards(64, 4))).members([Node(f"n{i}") for i in range(60)])
+    assert {len(m) for m in members.values()} == {4}
+    pairs = overlap(members)
+    total = comb(64, 2)
+    assert sum(pairs.values()) == total
+    for shared in range(3):     # the hypergeometric law
+        expected = comb(4, shared) * comb(56, 4 - shared) / comb(60, 4)
+        assert abs(pairs.get(shared, 0) / total - expected) < 0.05, (shared, pairs)
+    assert pairs.get(4, 0) == 0
+
+
+def test_a_roster_smaller_than_a_shard_is_all_of_it():
+    members = Assignment(SHARDS).members([Node("a"), Node("b")])
+    assert set(members.values()) == {frozenset("ab")}
+
+
+def test_what_is_remembered_is_bounded(monkeypatch):
+    monkeypatch.setattr("fennelpoint.cells.assign.MOST_REMEMBERED", 100)
+    made = Assignment(CELLS)
+    first = made.cell_of(1)
+    for c in range(1000):
+        made.cell_of(c)
+    assert len(made.found) == 100 and made.cell_of(1) == first
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -86,32 +86,32 @@
     world = World(make_settings())
     world.backends("a")
     drive(world, 2.0, 10, lambda b: (api.Status.OK, 0.1))
-    before = world.control.window
+    before = world.control.crowd.window
     drive(world, 3.0, 10, lambda b: None)
-    assert world.control.window < 0.7 * before
+    assert world.control.crowd.window < 0.7 * before
 
 
 def test_window_grows_while_answers_are_quick_and_shrinks_while_they_are_late():
     world = World(make_settings())
     world.backends("a")
-    world.control.window = 4.0
+    world.control.crowd.window = 4.0
     drive(world, 4.0, 60, lambda b: (api.Status.OK, 0.1))
-    grown = world.control.window
+    grown = world.control.crowd.window
     assert grown > 5.0
     drive(world, 6.0, 60, lambda b: (api.Status.OK, 0.6))
-    assert world.control.window < 0.7 * grown
+    assert world.control.crowd.window < 0.7 * grown
 
 
 def test_ingress_rests_while_its_window_is_under_one_attempt():
     """One attempt from each of many ingresses can still be too much (incident ia57e96)."""
     world = World(make_settings())
     world.backends("a", "b")
-    world.control.window, world.control.pressure = 0.5, 1.0
+    world.control.crowd.window, world.control.crowd.pressure = 0.5, 1.0
     (send,) = world.ask()
     world.now += 1.0
     world.answer(send.request, send.backend, latency=1.0)
     assert world.ask(customer=2) == []
-    assert world.now < world.control.rest_until <= world.now + control.REST_MOST
+    assert world.now < world.control.crowd.rest_until <= world.now + control.REST_MOST
 
 
 def test_few_stalled_backends_do_not_close_the_window():
@@ -119,8 +119,8 @@
     world = World(make_settings())
     world.backends("a")
     for latency in (40.0, 0.1, 0.1, 0.1, 0.1, 0.1):
-        world.control._press(latency, latency, world.now)
-    assert world.control.pressure <= control.TARGET
+        world.control._press(world.control.crowd, latency, latency, world.now)
+    assert world.control.crowd.pressure <= control.TARGET
 
 
 def test_large_fleet_is_used_in_part_and_in_whole_when_that_part_is_away():
@@ -144,7 +144,8 @@
     world = World(make_settings())
     world.roster(api.BackendEntry("far", READY, zone=1), api.BackendEntry("near", READY, zone=0))
     near, far = (world.control.fleet.known[name] for name in ("near", "far"))
-    t = control.Try(api.Request(1, SAFE, 0, 1, 4.0, 1.0, 2.0, 0.0), None, 0.0, 0.0, 1.0)
+    t = control.Try(api.Request(1, SAFE, 0, 1, 4.0, 1.0, 2.0, 0.0), None, 0.0, 0.0, 1.0,
+                    world.control.crowd)
     cost = [world.control._cost(b, 1.0, t, world.now) for b in (near, far)]
     assert cost[1] == pytest.approx(control.NEAR_TIE * cost[0])
     near.load += 1.0
@@ -240,20 +241,20 @@
     """An ingress with one answer in a while: latencies about the target cut it down to one attempt."""
     world = World(make_settings())
     world.backends("a")
-    world.control.window, world.control.pressure = 8.0, 0.3
+    world.control.crowd.window, world.control.crowd.pressure = 8.0, 0.3
     for _ in range(3 * control.EVIDENCE):   # far apart: each comes after more than the time of an answer
         world.now += 2.0
-        world.control._press(0.3, 0.3, world.now)
-    assert 8.0 * control.WINDOW_CUT ** 3 <= world.control.window < 8.0
+        world.control._press(world.control.crowd, 0.3, 0.3, world.now)
+    assert 8.0 * control.WINDOW_CUT ** 3 <= world.control.crowd.window < 8.0
 
 
 def test_attempts_that_a_silent_backend_holds_do_not_fill_a_small_window():
     world = World(make_settings())
     world.backends("a", "b")
-    world.control.window = 2.0
+    world.control.crowd.window = 2.0
     held = kinds(world.ask(customer=1, cls=UNSAFE) + world.ask(customer=2, cls=UNSAFE))
     assert held == [api.Send, api.Send] and world.ask(customer=3) == []
     world.wait(3.0)     # over their aim, under their deadline
-    world.control.window = 2.0
+    world.control.crowd.window = 2.0
     assert kinds(world.ask(customer=4)) == [api.Send]
     assert world.ask(customer=5) == []      # half of what is out counts in any case
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -281,7 +281,7 @@
     assert new.control.fleet.known["s1"].slow == 5.0
 
 
-@given(st.dictionaries(st.sampled_from(["customers", "rest", "backends", "typical", "usual", "odds", "window",
+@given(st.dictionaries(st.sampled_from(["customers", "rest", "backends", "typical", "usual", "odds", "crowds",
                                         "asking", "answers"]), JSON, max_size=9))
 def test_a_state_of_any_shape_harms_nothing(state):
     made = World(make_settings())
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -235,7 +235,8 @@
     backend, other = (world.control.fleet.known[name] for name in "ab")
     world.control.usual_held = 4.0
     world.control._report(backend, [0.0, 0.0], world.now)
-    t = control.Try(api.Request(1, 0, 0, 1, 4.0, 1.0, 2.0, 0.0), None, 0.0, 0.0, 1.0, picked=[backend])
+    t = control.Try(api.Request(1, 0, 0, 1, 4.0, 1.0, 2.0, 0.0), None, 0.0, 0.0, 1.0, world.control.crowd,
+                    picked=[backend])
     cost, late = world.control._cost, world.now + 8 * control.REPORT_HALF
     assert cost(backend, 1.0, t, world.now) < 0.5 * cost(other, 1.0, t, world.now)
     assert cost(backend, 1.0, t, late) > 0.9 * cost(other, 1.0, t, late)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -191,7 +191,7 @@
 def test_dearer_held_try_goes_first():
     world = World(make_settings())
     world.backends("a")
-    sent = [world.ask(customer=i)[0] for i in range(int(world.control.window))]
+    sent = [world.ask(customer=i)[0] for i in range(int(world.control.crowd.window))]
     assert world.ask(customer=11) == []
     cheap = world.ids
     world.ask(cls=UNSAFE, plan=SOFT, customer=12, left=6.0)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -272,9 +272,9 @@
 
         async with world(*(Backend(answer, 0.02) for _ in range(8))) as made:
             control = made.ingress.host.controller
-            before = control.window
+            before = control.crowd.window
             gets = [status(a) for a in await asyncio.gather(*(ask(made, request()) for _ in range(24)))]
             assert next(turned_away, None) is None
-            assert gets.count(SERVED) > 12 and control.window > before / 4
+            assert gets.count(SERVED) > 12 and control.crowd.window > before / 4
 
     run(play())
