--- a/fennelpoint/cli.py
+++ b/fennelpoint/cli.py
@@ -84,6 +84,62 @@
     _end_with(faults, as_json)
 
 
+@main.group()
+def cells() -> None:
+    """Agencies confined to subsets of the booking nodes (docs/cells.md)."""
+
+
+def _assignment(file: str) -> object:
+    """The assignment of a plan, or the end of the command."""
+    from fennelpoint.cells import Assignment, read_plan
+
+    try:
+        return Assignment(read_plan(file))
+    except FaultyFile as error:
+        return _end_with(error.faults, False)
+
+
+@cells.command("show")
+@click.argument("file", type=FILE)
+@click.option("--nodes", default="", help="Ids of nodes, with commas between; ID@ZONE tells a zone, too.")
+@click.option("--json", "as_json", is_flag=True, help="The cells as JSON.")
+def cells_show(file: str, nodes: str, as_json: bool) -> None:
+    """The cells of a plan, and which of these nodes each has."""
+    from fennelpoint.cells import Node
+    from fennelpoint.cells.assign import overlap
+
+    made = _assignment(file)
+    words = [word.strip() for word in nodes.split(",") if word.strip()]
+    members = made.members(Node(*word.partition("@")[::2]) for word in words)
+    if as_json:
+        return click.echo(json.dumps({"version": made.plan.version, "cells": {
+            name: sorted(ids) for name, ids in members.items()}}, indent=2))
+    click.echo(f"version {made.plan.version}, {len(members)} cells")
+    for name in made.names:
+        click.echo(f"{name}: {', '.join(sorted(members[name])) or 'none of these nodes'}")
+    for shared, pairs in sorted(overlap(members).items()):
+        if shared:
+            click.echo(f"{pairs} pairs of cells share {shared} nodes")
+
+
+@cells.command("explain")
+@click.argument("file", type=FILE)
+@click.argument("agency")
+def cells_explain(file: str, agency: str) -> None:
+    """Which cell an agency (its 16 digits) is in, and why."""
+    from fennelpoint.cells.plan import AGENCY
+
+    if AGENCY.fullmatch(agency) is None:
+        raise click.BadParameter(f"{agency!r} is no agency: 16 hexadecimal digits, lower case")
+    made = _assignment(file)
+    customer = int(agency, 16)
+    click.echo(f"{agency} is in {made.cell_of(customer)}: {made.why(customer)}")
+    for cell in made.plan.cells:
+        if cell.name == made.cell_of(customer) and cell.spill_to:
+            click.echo(f"while that has no node left, up to {cell.spill_share:g} of the attempts of "
+                       f"{cell.spill_to} are open to it")
+
+
 @main.command()
 @click.argument("file", type=FILE)
 @CONFIG
--- a/tests/cells/test_plan.py
+++ b/tests/cells/test_plan.py
@@ -1,9 +1,13 @@
 """The plan of cells: every fault with its line, all at once; versions only grow."""
 
+import json
+
 import pytest
+from click.testing import CliRunner
 
 from fennelpoint.cells.plan import Plan, check_change, read_plan
 from fennelpoint.checks import check_file
+from fennelpoint.cli import main
 from fennelpoint.faults import FaultyFile
 
 GOOD = """version = 3
@@ -98,3 +102,31 @@
     operator.write_text('schema = 1\n[cells]\nplan = "cells.toml"\n')
     (fault,) = check_file(str(operator), None)
     assert fault.file.endswith("cells.toml") and fault.line == 7
+
+
+def command(*words: str):
+    return CliRunner().invoke(main, ["cells", *words])
+
+
+def test_show_tells_each_cells_nodes(tmp_path):
+    path = str(written(tmp_path, GOOD))
+    said = command("show", path, "--nodes", "s-11, s-2, s-12@hall")
+    assert said.exit_code == 0 and said.output.splitlines() == [
+        "version 3, 2 cells", "east: s-11, s-12", "west: s-2"]
+    assert json.loads(command("show", path, "--nodes", "s-2", "--json").output) == {
+        "version": 3, "cells": {"east": [], "west": ["s-2"]}}
+    shards = str(written(tmp_path, "version = 1\n[shards]\ncount = 3\nsize = 2\n"))
+    assert "share" in command("show", shards, "--nodes", "a,b,c").output
+
+
+def test_explain_tells_where_an_agency_is_and_why(tmp_path):
+    path = str(written(tmp_path, GOOD))
+    listed = command("explain", path, "00000000b4d65521").output
+    assert "is in east: the plan names it there" in listed and "up to 0.2 of the attempts of west" in listed
+    assert "is in west: by hash" in command("explain", path, "0000000000000001").output
+    assert command("explain", path, "xyz").exit_code == 2
+
+
+def test_a_faulty_plan_ends_the_command_with_its_faults(tmp_path):
+    said = command("show", str(written(tmp_path, GOOD.replace("take = 1.0", ""))))
+    assert said.exit_code == 2 and "give one cell a take" in said.output + (said.stderr or "")
