--- a/fennelpoint/standins/process.py
+++ b/fennelpoint/standins/process.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -14,11 +15,19 @@
 STOP_WITHIN = 10.0  # s after SIGTERM before it is killed
 
 
+PORTS = range(12_000, 32_000)   # under those that the system gives to connections by itself
+
+
 def free_port() -> int:
-    """A port of loopback that nobody listens on just now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port of loopback that nobody listens on just now, drawn by lot, as others look, too."""
+    draw = random.SystemRandom()
+    while True:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port := draw.choice(PORTS)))
+            except OSError:
+                continue
+            return port
 
 
 class Command:
