Cells: quarantine of agencies whose requests kill nodes; larchwing cells move

Seen on loopback: eight nodes that die of one agency's requests, 6 s: none outside of the quarantine dies in the second half, six and more without it, nobody else accused.

larchwing cells move keeps the file's words (tomlkit) and writes a sound plan or none.

--- /dev/null
+++ b/fennelpoint/cells/edit.py
@@ -0,0 +1,53 @@
+"""Changes of a plan's file that keep its words: an agency moved, the version one higher, written whole."""
+
+from __future__ import annotations
+
+import os
+import tempfile
+from pathlib import Path
+
+import tomlkit
+
+from fennelpoint.cells.assign import Assignment
+from fennelpoint.cells.plan import read_plan
+from fennelpoint.faults import Fault, FaultyFile
+
+
+def move(path: str | Path, agency: str, cell: str) -> tuple[int, str]:
+    """Put an agency into a cell; the new version and where it was.
+
+    The file is replaced by a sound one or not at all.  Raises FaultyFile.
+    """
+    path = Path(path)
+    plan = read_plan(path)
+    before = Assignment(plan).cell_of(int(agency, 16))
+    names = [spec.name for spec in plan.cells]
+    if cell not in names:
+        raise FaultyFile([Fault(str(path), 0, "cells", f"there is no cell {cell!r}: there are "
+                                + (", ".join(names) or "none, as agencies are in shards by hash"))])
+    document = tomlkit.parse(path.read_text())
+    for table in document["cells"]:
+        listed = table.get("agencies")
+        if table["name"] == cell:
+            if listed is None:
+                table["agencies"] = listed = tomlkit.array()
+            if agency not in listed:
+                listed.append(agency)
+        elif listed is not None and agency in listed:
+            listed.remove(agency)
+    document["version"] = plan.version + 1
+    handle, draft = tempfile.mkstemp(dir=path.parent, prefix=path.name, suffix=".draft")
+    try:
+        with os.fdopen(handle, "w") as file:
+            file.write(tomlkit.dumps(document))
+            file.flush()
+            os.fsync(file.fileno())
+        os.chmod(draft, path.stat().st_mode & 0o777)
+        if (made := Assignment(read_plan(draft))).cell_of(int(agency, 16)) != cell:
+            where = made.cell_of(int(agency, 16))
+            raise FaultyFile([Fault(str(path), 0, "cells", f"{agency} would be in {where}")])
+        os.rename(draft, path)
+    except BaseException:
+        os.unlink(draft)
+        raise
+    return plan.version + 1, before
--- a/fennelpoint/cells/plan.py
+++ b/fennelpoint/cells/plan.py
@@ -46,6 +46,7 @@
     version: int = figure(0, 1, 1 << 53)
     schema: int = 1
     salt: str = ""
+    quarantine: str = ""    # the cell of agencies whose requests seem to kill nodes; none: nobody is accused
     cells: list[CellSpec] = field(default_factory=list)
     shards: Shards | None = None
 
@@ -93,6 +94,20 @@
     if plan.cells and not any(cell.take for cell in plan.cells):
         fault((), "agencies that no cell names have none: give one cell a take, or several")
     _check_spill(plan, names, fault)
+    _check_quarantine(plan, fault)
+
+
+def _check_quarantine(plan: Plan, fault) -> None:
+    """A cell there is, of nodes alone: whoever is sent there shares it with nobody else."""
+    if not plan.quarantine:
+        return
+    cell = next((cell for cell in plan.cells if cell.name == plan.quarantine), None)
+    if cell is None:
+        return fault(("quarantine",), f"there is no cell {plan.quarantine!r}")
+    if cell.agencies or cell.take or any(other.spill_to == cell.name for other in plan.cells):
+        fault(("quarantine",), f"{cell.name!r} serves others, too: it may have no agencies, take or spill")
+    if cell.spill_to:
+        fault(("quarantine",), f"{cell.name!r} spills: what kills nodes would go on to others")
 
 
 def _check_spill(plan: Plan, names: dict[str, int], fault) -> None:
--- a/fennelpoint/cells/service.py
+++ b/fennelpoint/cells/service.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 
 from fennelpoint import interface as api
 from fennelpoint.cells.assign import Assignment, Node
 from fennelpoint.cells.plan import Plan, check_change, read_plan
+from fennelpoint.cells.poison import Poison
 from fennelpoint.faults import FaultyFile
 from fennelpoint.net.notice import log
 
@@ -19,12 +21,36 @@
         self.assignment = Assignment(plan)
         self.nodes: dict[str, Node] = {}
         self.told: dict[str, frozenset[str]] = {}
+        self.poison = Poison()
 
     def cell_of(self, customer: int) -> str:
+        jail = self.assignment.plan.quarantine
+        if jail and self.poison.apart(customer, time.monotonic()):
+            return jail
         return self.assignment.cell_of(customer)
 
+    def sent(self, customer: int, node: str) -> None:
+        if self.assignment.plan.quarantine:
+            self.poison.sent(customer, node, time.monotonic())
+
+    def ended(self, customer: int, node: str, status: api.Status) -> None:
+        """An attempt's end: a node that dies of it shows by a break, and by connects that fail."""
+        if self.assignment.plan.quarantine:
+            self._accuse(self.poison.ended(customer, node, status is api.Status.RESET,
+                                           status is api.Status.CONNECT_FAILED, time.monotonic()))
+
+    def _accuse(self, customers: list[int]) -> None:
+        """Into quarantine, with what waits of them; it ends by itself."""
+        if customers:
+            jail, now = self.assignment.plan.quarantine, time.monotonic()
+            for customer in customers:
+                log.warning("agency %016x is kept in %s: nodes died with its requests (%s)", customer, jail,
+                            self.poison.why(customer, now))
+            self._tell(dict.fromkeys(customers, jail), anew=True)
+
     def follow(self, roster: api.Roster) -> None:
         """Take in a list or its changes, before the module does."""
+        before = set(self.nodes)
         if roster.kind is not api.RosterKind.CHANGES:
             self.nodes = {}
         for entry in roster.entries:
@@ -33,6 +59,9 @@
             else:
                 zone = self.zones[entry.zone] if entry.zone < len(self.zones) else ""
                 self.nodes[entry.backend] = Node(entry.backend, zone)
+        if self.assignment.plan.quarantine:
+            for node in before - set(self.nodes):
+                self._accuse(self.poison.gone(node, time.monotonic()))
         self._tell({})
 
     def _tell(self, moved: dict[int, str], anew: bool = False) -> None:
--- a/fennelpoint/cli.py
+++ b/fennelpoint/cli.py
@@ -89,6 +89,14 @@
     """Agencies confined to subsets of the booking nodes (docs/cells.md)."""
 
 
+def _agency(text: str) -> str:
+    from fennelpoint.cells.plan import AGENCY, MOST_CUSTOMER
+
+    if AGENCY.fullmatch(text) is None or int(text, 16) >= MOST_CUSTOMER:
+        raise click.BadParameter(f"{text!r} is no agency: 16 hexadecimal digits, lower case, below 2^33")
+    return text
+
+
 def _assignment(file: str) -> object:
     """The assignment of a plan, or the end of the command."""
     from fennelpoint.cells import Assignment, read_plan
@@ -127,12 +135,7 @@
 @click.argument("agency")
 def cells_explain(file: str, agency: str) -> None:
     """Which cell an agency (its 16 digits) is in, and why."""
-    from fennelpoint.cells.plan import AGENCY
-
-    if AGENCY.fullmatch(agency) is None:
-        raise click.BadParameter(f"{agency!r} is no agency: 16 hexadecimal digits, lower case")
-    made = _assignment(file)
-    customer = int(agency, 16)
+    made, customer = _assignment(file), int(_agency(agency), 16)
     click.echo(f"{agency} is in {made.cell_of(customer)}: {made.why(customer)}")
     for cell in made.plan.cells:
         if cell.name == made.cell_of(customer) and cell.spill_to:
@@ -140,6 +143,24 @@
                        f"{cell.spill_to} are open to it")
 
 
+@cells.command("move")
+@click.argument("file", type=FILE)
+@click.argument("agency")
+@click.argument("cell")
+def cells_move(file: str, agency: str, cell: str) -> None:
+    """Put an agency into a cell: the plan's file gets it, and the next version.
+
+    The ingresses go by it once they get SIGHUP.
+    """
+    from fennelpoint.cells.edit import move
+
+    try:
+        version, before = move(file, _agency(agency), cell)
+    except FaultyFile as error:
+        return _end_with(error.faults, False)
+    click.echo(f"version {version}: {agency} moves from {before} to {cell}; send the ingresses SIGHUP")
+
+
 @main.command()
 @click.argument("file", type=FILE)
 @CONFIG
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -239,6 +239,8 @@
             return self.post(api.Outcome(send.request, number, send.backend, api.Status.MOOT, 0.0,
                                          ticket is None or ticket.client is None))
         ticket.attempts += 1
+        if self.cells is not None:
+            self.cells.sent(ticket.asked.customer, send.backend)
         until = min(ticket.deadline, now + send.timeout) if send.timeout else ticket.deadline
         timer: asyncio.TimerHandle | None = None
 
@@ -246,6 +248,8 @@
             if timer is not None:
                 timer.cancel()
             ticket.out.pop(number, None)
+            if self.cells is not None:
+                self.cells.ended(ticket.asked.customer, send.backend, status)
             if ticket.begun:
                 good = status is api.Status.OK
                 self._finish(ticket, lambda client: client.done() if good else client.broken())
--- a/fennelpoint/standins/process.py
+++ b/fennelpoint/standins/process.py
@@ -74,10 +74,10 @@
 
     def __init__(self, settings: dict, discovery: str, counter: str, description: str | Path | None = None,
                  sockets: int = 4096, operator: str = "", inherited: socket.socket | None = None,
-                 common: str = "", tree: Path | None = None) -> None:
+                 common: str = "", tree: Path | None = None, cells: str = "") -> None:
         """With a socket to be inherited, `common` is the folder of all processes that inherit it.
 
-        `tree` is another checkout of the program to run.
+        `tree` is another checkout of the program to run, `cells` the text of a plan of cells.
         """
         self.tree = tree
         self.folder = tempfile.TemporaryDirectory(prefix="larchwing-")
@@ -90,7 +90,10 @@
                   "limits": {"sockets": sockets}, "settings": settings}
         self.config, self.operator, self.log = root / "config.json", root / "operator.toml", root / "log"
         self.config.write_text(json.dumps(config))
-        self.has_operator = description is not None
+        self.plan, self.has_operator = root / "cells.toml", bool(description or cells)
+        if cells:
+            self.plan.write_text(cells)
+            self.operator.write_text('schema = 1\n[cells]\nplan = "cells.toml"\n')
         if description is not None:
             path = json.dumps(str(Path(description).resolve()))     # a JSON text is a TOML one, too
             self.operator.write_text(f"schema = 1\n[routes]\ndescription = {path}\n{operator}")
--- a/tests/cells/test_cells_serving.py
+++ b/tests/cells/test_cells_serving.py
@@ -1,6 +1,7 @@
 """Cells in a running ingress: whom a flood or lost nodes harm, reloads, moves."""
 
 import asyncio
+import contextlib
 from collections import Counter
 
 from fennelpoint.operator import read_operator
@@ -193,3 +194,70 @@
             new.stop()
 
     run(play())
+
+
+class Mortal(Fake):
+    """A node that dies of the east's requests and is back after a while."""
+
+    def __init__(self) -> None:
+        super().__init__(self._handle)
+        self.deaths = 0
+
+    async def _handle(self, reader, writer) -> None:
+        while True:
+            _, fields, _ = await read_message(reader)
+            if fields["cookie"].endswith("11"):
+                return self._die()
+            await asyncio.sleep(0.005)
+            writer.write(ok(b"yes"))
+
+    def _die(self) -> None:
+        self.deaths += 1
+        self.stop()
+        asyncio.get_running_loop().call_later(0.4, lambda: asyncio.ensure_future(self._back()))
+
+    async def _back(self) -> None:
+        host, port = self.address.split(":")
+        self.server = await asyncio.start_server(self._serve, host, int(port))
+
+
+def test_an_agency_whose_requests_kill_nodes_is_kept_in_quarantine(tmp_path, caplog):
+    async def play(quarantine: bool) -> tuple[int, int]:
+        """Deaths outside of the quarantine in the second half, and all."""
+        nodes = [Mortal() for _ in range(8)]
+        (tmp_path / "cells.toml").write_text(
+            "version = 1\n" + 'quarantine = "jail"\n' * quarantine + '[[cells]]\nname = "jail"\nnodes = '
+            '["s-7"]\n[[cells]]\nname = "main"\npart = 1.0\ntake = 1.0\n')
+        (tmp_path / "operator.toml").write_text('schema = 1\n[cells]\nplan = "cells.toml"\n')
+        plan = read_operator(tmp_path / "operator.toml")
+        async with world(*nodes, operator=plan, contracts=PLENTY) as made:
+            stop = asyncio.Event()
+
+            async def others(customer: int) -> None:
+                while not stop.is_set():
+                    with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                        await ask(made, of(customer))
+                    await asyncio.sleep(0.02)
+
+            tasks = [asyncio.ensure_future(others(c)) for c in range(0x20, 0x30)]
+            half = 0
+            for i in range(24):
+                await asyncio.sleep(0.25)
+                with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                    await ask(made, of(EAST, "book", left=1500))
+                if i == 11:
+                    half = sum(node.deaths for node in nodes[:7])
+            stop.set()
+            await asyncio.gather(*tasks)
+            return sum(node.deaths for node in nodes[:7]) - half, sum(node.deaths for node in nodes)
+
+    result: dict[bool, tuple[int, int]] = {}
+
+    async def both() -> None:
+        result[True] = await play(True)
+        assert "agency 0000000000000011 is kept in jail" in caplog.text
+        assert caplog.text.count("is kept in jail") == 1    # nobody else is accused
+        result[False] = await play(False)
+
+    run(both(), 60.0)
+    assert result[True][0] == 0 and result[False][0] >= 6, result
--- a/tests/cells/test_plan.py
+++ b/tests/cells/test_plan.py
@@ -5,6 +5,7 @@
 import pytest
 from click.testing import CliRunner
 
+from fennelpoint.cells.assign import Assignment
 from fennelpoint.cells.plan import Plan, check_change, read_plan
 from fennelpoint.checks import check_file
 from fennelpoint.cli import main
@@ -62,6 +63,9 @@
     ('take = 1.0\n', '', 0, "give one cell a take"),
     ('part = 1.0', 'share = 1.0', 10, "not known here"),
     ('part = 1.0', 'part = "all"', 10, "not a number"),
+    ('version = 3', 'version = 3\nquarantine = "jail"', 2, "no cell 'jail'"),
+    ('version = 3', 'version = 3\nquarantine = "west"', 2, "serves others, too"),
+    ('version = 3', 'version = 3\nquarantine = "east"', 2, "spills"),
     ('[[cells]]\nname = "west"', '[[cell]]\nname = "west"', 8, "is cells meant?"),
 ])
 def test_a_fault_is_told_with_its_line(tmp_path, old, new, line, says):
@@ -130,3 +134,33 @@
 def test_a_faulty_plan_ends_the_command_with_its_faults(tmp_path):
     said = command("show", str(written(tmp_path, GOOD.replace("take = 1.0", ""))))
     assert said.exit_code == 2 and "give one cell a take" in said.output + (said.stderr or "")
+
+
+def test_move_puts_an_agency_elsewhere_with_the_next_version_and_keeps_the_rest(tmp_path):
+    path = written(tmp_path, "# ours\n" + GOOD.replace('part = 1.0', 'part = 1.0  # of the rest'))
+    said = command("move", str(path), "00000000b4d65521", "west")
+    assert said.exit_code == 0 and said.output.startswith(
+        "version 4: 00000000b4d65521 moves from east to west")
+    text = path.read_text()
+    assert text.startswith("# ours\n") and "# of the rest" in text
+    made = Assignment(read_plan(path))
+    assert made.plan.version == 4 and made.cell_of(0xb4d65521) == "west"
+    assert command("move", str(path), "0000000000000007", "east").exit_code == 0
+    assert Assignment(read_plan(path)).cell_of(7) == "east" and read_plan(path).version == 5
+    assert [p.name for p in tmp_path.iterdir()] == ["cells.toml"]
+
+
+@pytest.mark.parametrize("words, says", [
+    (("00000000b4d65521", "north"), "there is no cell 'north': there are east, west"),
+    (("xyz", "west"), "no agency"), (("ffffffffffffffff", "west"), "below 2^33")])
+def test_a_move_that_makes_no_sense_changes_nothing(tmp_path, words, says):
+    path = written(tmp_path, GOOD)
+    said = command("move", str(path), *words)
+    assert said.exit_code == 2 and says in said.output + (said.stderr or "") and path.read_text() == GOOD
+
+
+def test_a_move_in_a_faulty_plan_or_in_shards_changes_nothing(tmp_path):
+    for text in (GOOD.replace("spill_share = 0.2", "spill_share = 2"), "version = 1\n[shards]\ncount = 4\n"):
+        path = written(tmp_path, text)
+        assert command("move", str(path), "0000000000000007", "west").exit_code == 2
+        assert path.read_text() == text and [p.name for p in tmp_path.iterdir()] == ["cells.toml"]
