--- a/fennelpoint/cli.py
+++ b/fennelpoint/cli.py
@@ -143,6 +143,57 @@
                        f"{cell.spill_to} are open to it")
 
 
+def _loads(file: str) -> dict[int, float]:
+    """Units a second of each agency, by its 16 digits; raises FaultyFile."""
+    from fennelpoint.cells.plan import AGENCY
+
+    try:
+        told = json.loads(Path(file).read_text())
+    except (OSError, ValueError) as error:
+        raise FaultyFile([Fault(file, 0, "", f"it is no JSON that can be read: {error}")]) from None
+    if not isinstance(told, dict):
+        raise FaultyFile([Fault(file, 0, "", "it is not an object of agencies and their units a second")])
+    faults = [Fault(file, 0, key, "it is no agency: 16 hexadecimal digits") for key in told
+              if AGENCY.fullmatch(key) is None]
+    faults += [Fault(file, 0, key, f"{load!r} is no load: a number of 0 or more")
+               for key, load in told.items()
+               if isinstance(load, bool) or not isinstance(load, int | float) or not 0.0 <= load < 1e12]
+    if faults:
+        raise FaultyFile(faults)
+    return {int(key, 16): float(load) for key, load in told.items()}
+
+
+@cells.command("plan")
+@click.argument("file", type=FILE)
+@click.argument("loads", type=FILE)
+@click.option("--nodes", required=True, help="Ids of nodes, with commas between; ID@ZONE tells a zone, too.")
+@click.option("--most", default=5, show_default=True, help="Moves to propose.")
+def cells_plan(file: str, loads: str, nodes: str, most: int) -> None:
+    """Propose few moves that even the cells out; nothing is changed.
+
+    LOADS is JSON: units a second by agency.  Nodes count alike.
+    """
+    from fennelpoint.cells import Node
+    from fennelpoint.cells.evenness import fullness, propose
+
+    made = _assignment(file)
+    try:
+        told = _loads(loads)
+    except FaultyFile as error:
+        return _end_with(error.faults, False)
+    words = [word.strip() for word in nodes.split(",") if word.strip()]
+    room = {name: float(len(ids)) for name, ids in made.members(
+        Node(*word.partition("@")[::2]) for word in words).items() if ids}
+    homes = {agency: made.cell_of(agency) for agency in told}
+    for name, full in fullness(told, homes, room).items():
+        click.echo(f"{name}: {room[name]:g} nodes, {full:.2f} units a second each")
+    for move in (moves := propose(told, homes, room, most, {}, 0.0, 0.0)):
+        click.echo(f"larchwing cells move {file} {move.agency:016x} {move.target}    # the fullest then: "
+                   f"{move.fullest:.2f}")
+    if not moves:
+        click.echo("no move gains 2 %")
+
+
 @cells.command("move")
 @click.argument("file", type=FILE)
 @click.argument("agency")
