--- a/benchmarks/cell_plans.py
+++ b/benchmarks/cell_plans.py
@@ -1,8 +1,7 @@
 """Whom one poison agency harms, and what a node's change moves, by plan: `python benchmarks/cell_plans.py`.
 
-60 nodes, 10,000 agencies, by arithmetic on the assignment itself (which is the same at every ingress, be there
-3 or 40).  A poison agency kills every node that it reaches; harmed is who has no node left, and hurt who has
-lost some.  Then the agencies' nodes that change when one node joins, and the cost of looking a cell up.
+60 nodes, 10,000 agencies, by arithmetic on the assignment (the same at every ingress, be there 3 or 40).
+A poison agency kills every node that it reaches; harmed is who has no node left, and hurt who has lost some.  Then the agencies' nodes that change when one node joins, and the cost of looking a cell up.
 """
 
 from __future__ import annotations
@@ -53,7 +52,8 @@
 
 if __name__ == "__main__":
     print(f"{len(NODES)} nodes, {len(AGENCIES)} agencies, {len(POISONS)} poison agencies one at a time")
-    print(f"{'':<28}{'harmed':>10}{'hurt':>10}{'one joins':>12}{'look-up us':>12}{'first us':>10}{'ratio':>8}")
+    print(f"{'':<28}{'harmed':>10}{'hurt':>10}{'one joins':>12}{'look-up us':>12}{'first us':>10}"
+          f"{'ratio':>8}")
     for name, plan in PLANS.items():
         lost, hurt, changed = harm(plan)
         again, first = cost(plan)
