Clients keep to their own descriptors; connections used again outlast heads that take long

Change: clients keep to their own part of the descriptors; connections used again go after heads that take long.

--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -164,7 +164,6 @@
         self.follower = None    # of a description, where the operator file names one
         self.life, self.looking = LifeCycle(time.monotonic()), False
         self.server = Server(loop, self.host, room, self.life, self._reader())
-        self.backends.make_room = self.server.make_room
         self.beat, self.door, self.relay = self._beat(), self._door(), self._relay()
         self.turn = None    # this process's part among those of its ingress
 
--- a/fennelpoint/descriptors.py
+++ b/fennelpoint/descriptors.py
@@ -34,31 +34,27 @@
     upstream = int(room * UPSTREAM_SHARE)
     return Plan(callers, upstream, room - upstream)
 
-MARGIN = 8          # descriptors kept for connections to backends beyond those that are open
 YOUNG = 0.25        # s that a new connection has to send something before it may have to make room
 KEPT = 2.0          # s that a kept connection stands idle before it goes before one that is being written
 
 
-def clients_now(made: Plan, upstream_open: int) -> int:
-    """Clients that may be connected: they use what backends leave, and give it back when asked."""
-    return max(made.clients, made.clients + made.upstream - upstream_open - MARGIN)
-
-
 class Leaves(Enum):
     """The kinds of connection that are owed nothing, as their lines at the server."""
 
     LEAVING = "leaving"     # told that they are closed
     SILENT = "silent"       # new, nothing sent
-    IDLE = "idle"           # answered, and kept
+    ONCE = "once"           # asked one time, and stayed
+    IDLE = "idle"           # asked again and again, and kept
     BEGUN = "begun"         # a request's head has begun to come
 
 
 def who_leaves(oldest: dict[Leaves, float], now: float) -> Leaves | None:
     """The line whose oldest connection makes room, by since when that one stands there; none: nobody can.
 
-    By what it has done: those told that they are closed, those that never said anything, those long idle.
-    A head that is being written is a request that may come whole, so it goes last, after a kept connection
-    that may be used again: guards slow senders among thousands who ask once and stay.
+    By what it has done: those told that they are closed, those that never said anything, those that asked
+    once and stand idle since.  A head that is being written is a request that may come whole: guards slow
+    senders among thousands who ask once and stay.  A connection that was used again and again will be, so it
+    goes after heads that take long: guards the front's own among many that never write a whole request.
     """
     def age(kind: Leaves) -> float:
         return now - oldest[kind] if kind in oldest else -1.0
@@ -67,8 +63,8 @@
         return Leaves.LEAVING
     if age(Leaves.SILENT) >= YOUNG:
         return Leaves.SILENT
-    if age(Leaves.IDLE) >= KEPT:
-        return Leaves.IDLE
-    if age(Leaves.BEGUN) >= KEPT:
-        return Leaves.BEGUN
-    return next((kind for kind in (Leaves.IDLE, Leaves.BEGUN, Leaves.SILENT) if kind in oldest), None)
+    for kind in (Leaves.ONCE, Leaves.BEGUN, Leaves.IDLE):
+        if age(kind) >= KEPT:
+            return kind
+    order = (Leaves.ONCE, Leaves.BEGUN, Leaves.IDLE, Leaves.SILENT)
+    return next((kind for kind in order if kind in oldest), None)
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -340,7 +340,6 @@
         self.loop, self.most, self.budget = loop, most, budget
         self.connect_timeout = connect_timeout or CONNECT_TIMEOUT
         self.idle_most = min(IDLE_MOST, idle_close * IDLE_SHARE) if idle_close else IDLE_MOST
-        self.make_room: Callable[[], None] = lambda: None   # told before a connection is opened
         self.upstreams: dict[str, Upstream] = {}
         self.all: set[UpstreamConnection] = set()
         self.connecting: dict[asyncio.Task, Exchange] = {}
@@ -388,7 +387,6 @@
             complain("upstream", "all %d connections are in use", self.most)
             return exchange.end(Status.MOOT)
         self._connect(upstream, exchange)
-        self.make_room()
 
     def _connect(self, upstream: Upstream, exchange: Exchange) -> None:
         task = self.loop.create_task(self.loop.create_connection(
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -21,7 +21,7 @@
 
 from fennelpoint import interface as api
 from fennelpoint.bodies import MOST, STOPPED, Account, Pace, Upload
-from fennelpoint.descriptors import YOUNG, Leaves, Plan, clients_now, who_leaves
+from fennelpoint.descriptors import YOUNG, Leaves, Plan, who_leaves
 from fennelpoint.lifecycle import LifeCycle
 from fennelpoint.net.backends import HOP_BY_HOP, Answer
 from fennelpoint.net.host import Asked, Host, Source
@@ -202,7 +202,7 @@
     __slots__ = ("server", "transport", "parser", "waiting", "open", "deaf", "keep", "since", "head_size",
                  "taken", "fresh", "method_url", "headers", "body", "body_size", "in_head", "in_body", "lost",
                  "choked", "place", "bare", "length", "pace", "upload", "account", "source", "chunks",
-                 "expects", "halted", "passed", "drained", "drained_at", "mark", "__weakref__")
+                 "expects", "halted", "again", "passed", "drained", "drained_at", "mark", "__weakref__")
 
     def __init__(self, server: Server) -> None:
         super().__init__(server.host.budget)
@@ -225,6 +225,7 @@
         self.drained_at = 0.0           # when the latter last grew
         self.mark = MOST_UNREAD
         self.account = Account(self.budget)
+        self.again = False              # it was idle before, and asked again
         self.halted = False             # reading is paused: the body has nowhere to go
         self._begin()
 
@@ -286,7 +287,7 @@
             elif self.taken > MOST_TAKEN + 8 * self.body_size:
                 self._fault(BadRequest("it has no end", 413))
         if self.in_head:
-            if self.place is self.server.idle:
+            if self.place is self.server.idle or self.place is self.server.once:
                 self._stand(self.server.begun)      # its time to come whole runs from now
             elif self.place is self.server.coming:
                 self._stand(self.server.begun, self.since)  # from the connect
@@ -450,7 +451,7 @@
             if self.place is self.server.bodies:
                 self._stand(None)
         elif self.keep and self.server.life.keeps:      # it was answered before it had come
-            self._stand(self.server.idle)
+            self._rest()
         else:
             self._end()
 
@@ -602,10 +603,15 @@
             self.keep = keep
             self.server.loop.call_soon(self._go_on_reading)
         elif keep:
-            self._stand(self.server.begun if self.in_head else self.server.idle)
+            self._stand(self.server.begun) if self.in_head else self._rest()
         else:
             self._end()
 
+    def _rest(self) -> None:
+        """Idle, and kept: in the line for those who asked once, or for the others."""
+        self._stand(self.server.idle if self.again else self.server.once)
+        self.again = True
+
     def _go_on_reading(self) -> None:
         """A body that had to wait for the answer before it, or whose request has its answer already."""
         if self.in_body and not self.deaf and self.open is None:
@@ -676,7 +682,8 @@
         # Those without a request that is open, in lines, the oldest first; the others stand in none.
         self.coming: dict[ClientConnection, None] = {}   # new, and nothing of a request has come
         self.begun: dict[ClientConnection, None] = {}    # a request's head has begun to come
-        self.idle: dict[ClientConnection, None] = {}     # answered, and kept
+        self.once: dict[ClientConnection, None] = {}     # answered one time, and kept
+        self.idle: dict[ClientConnection, None] = {}     # answered again and again, and kept
         self.leaving: dict[ClientConnection, None] = {}  # told that they are closed
         self.bodies: dict[ClientConnection, None] = {}   # with a body that comes, its request open or not
         self.flowing: dict[ClientConnection, None] = {}  # of any of these, with an answer that is passed on
@@ -691,28 +698,29 @@
 
     def make_room(self) -> None:
         """Close connections while there are too many: such as are owed nothing, the oldest of their kind."""
-        over = len(self.connections) - clients_now(self.room, self.host.backends.open)
-        lines = {Leaves.LEAVING: self.leaving, Leaves.SILENT: self.coming, Leaves.IDLE: self.idle,
-                 Leaves.BEGUN: self.begun}
+        over = len(self.connections) - self.room.clients
+        lines = {Leaves.LEAVING: self.leaving, Leaves.SILENT: self.coming, Leaves.ONCE: self.once,
+                 Leaves.IDLE: self.idle, Leaves.BEGUN: self.begun}
         for _ in range(over):
             oldest = {kind: next(iter(line)).since for kind, line in lines.items() if line}
             if (kind := who_leaves(oldest, time.monotonic())) is None:
                 return
             connection = next(iter(lines[kind]))
-            if kind is Leaves.IDLE and unread([connection]):
-                connection._stand(self.idle)    # a request has come: read in this turn of the loop
+            if kind in (Leaves.ONCE, Leaves.IDLE) and unread([connection]):
+                connection._stand(lines[kind])  # a request has come: read in this turn of the loop
                 continue
             # As good as gone: counted once, though the loop tells of the end only later.
             connection._stand(None)
             self.connections.discard(connection)
-            if kind is Leaves.IDLE:
+            if kind in (Leaves.ONCE, Leaves.IDLE):
                 connection.transport.close()
             else:
                 connection.transport.abort()
 
     def sweep(self) -> None:
         now = time.monotonic()
-        for line, most in ((self.coming, HEAD_TIMEOUT), (self.idle, IDLE_TIMEOUT), (self.leaving, LINGER)):
+        for line, most in ((self.coming, HEAD_TIMEOUT), (self.idle, IDLE_TIMEOUT),
+                           (self.once, IDLE_TIMEOUT), (self.leaving, LINGER)):
             for connection in list(takewhile(lambda c: c.since < now - most, line)):  # noqa: B023
                 connection.overdue()
         for connection in [c for c in self.begun if c.since < now - HEAD_TIMEOUT]:
@@ -739,7 +747,7 @@
         One just opened has a moment to send its request.
         """
         young = time.monotonic() - YOUNG
-        connections = [*self.idle, *(c for c in self.coming if c.since < young)]
+        connections = [*self.once, *self.idle, *(c for c in self.coming if c.since < young)]
         waited_for = unread(connections)
         for connection in connections:
             if connection not in waited_for:
