--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -204,7 +204,11 @@
             return None
         from fennelpoint.net.relay import Relay
 
-        return Relay(self.config.folder, self.config.name, "{}:{}".format(*self.config.listen))
+        try:
+            return Relay(self.config.folder, self.config.name, "{}:{}".format(*self.config.listen))
+        except OSError as error:
+            return log.error("%s has no word for other processes: %s: %s", self.config.name, error.filename,
+                             error.strerror)
 
     def _stand(self) -> str:
         return f": {len(self.server.connections)} connections, {self.host.waiting} requests open"
--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -552,24 +552,23 @@
         return all(b.fails and now < b.rest_until for b in self._ready(crowd))
 
     def _route(self, t: Try, now: float) -> bool:
-        """Whether a try's cell, or for a few the one that this spills to, may serve it.
-
-        What may have run stays where it did.  The other cell's own tries come first: it takes some of these
-        while it has room to spare.
-        """
-        home = self.cells.get(t.ask.cell, self.crowd)
+        """Whether a try's cell, or for a few the one that this spills to, may serve it."""
         if t.ran_at is not None:
-            return True
-        t.crowd, t.spills = home, False
-        if not self._lost(home, now):
-            return True
+            return True     # where it may have run, or nowhere
+        home = self.cells.get(t.ask.cell, self.crowd)
+        lost = self._lost(home, now)
+        t.spills = lost and self._spills(home, now)
+        crowd = self.cells[home.spill_to] if t.spills else home
+        if crowd is not t.crowd:
+            t.crowd, t.picked = crowd, None     # those picked were probed in the other cell
+        return t.spills or not lost
+
+    def _spills(self, home: Crowd, now: float) -> bool:
+        """Whether the cell that a lost one spills to takes one more: after its own, with room to spare."""
         if (other := self.cells.get(home.spill_to)) is None or self._lost(other, now):
             return False
-        spare = other.quiet() + 1 <= max(1.0, (1.0 - SPARE) * other.window)
-        if not spare or other.spilt + 1 > max(1.0, home.spill_share * other.window):
-            return False
-        t.crowd, t.spills = other, True
-        return True
+        return (other.quiet() + 1 <= max(1.0, (1.0 - SPARE) * other.window)
+                and other.spilt + 1 <= max(1.0, home.spill_share * other.window))
 
     def _choose(self, t: Try, now: float) -> Backend | None:
         """The backend with the least expected wait, among some at random, that may take this try."""
--- a/fennelpoint/handover.py
+++ b/fennelpoint/handover.py
@@ -17,7 +17,7 @@
 
 MOST_TOLD = 8000    # customers, the last seen first
 COUNTED = ("total", "total_at", "ours", "alls", "spans", "store", "left", "left_at", "odds", "short_at",
-           "top", "top_at", "rate", "ratio", "worth", "seen", "filled")
+           "top", "top_at", "rate", "ratio", "worth")
 SPLIT = ("level", "ceiling")                # of a customer's stores, to each its part
 OWED = ("fresh", "untold", "untold_at")     # taken, and not yet told to the counter
 HEALTH = ("slow", "slow_at", "fails", "failed_at", "rest_until")
@@ -131,6 +131,8 @@
             or not _finite([width, share, *stores, *figures.values()]) or not 1.0 <= width
             or not 0.0 <= share <= 1.0):
         return False
+    if key in control.customers:
+        return True     # served here already: what is out and was taken since counts, not this late word
     p = control.settings.plans[plan]
     c = Customer(key, plan, width * control.parts, share, min(stores[0], p.burst), store=p.burst, filled=now,
                  total_at=now, count_at=now)
@@ -148,7 +150,7 @@
     if not isinstance(entry, list) or len(entry) != 2 + len(SPLIT) + len(OWED) or not _finite(entry):
         return False
     key, plan, level, ceiling, fresh, untold, untold_at = entry
-    if (c := control.customers.get(key)) is None or c.plan != plan or min(level, fresh, untold) < 0.0:
+    if (c := control.customers.get(key)) is None or c.plan != plan or min(fresh, untold) < 0.0:
         return True     # nobody asked for it here since: a cold start for it
     p = control.settings.plans[plan]
     c.level, c.ceiling = min(p.burst, c.level + level), min(p.ceiling_burst, c.ceiling + ceiling)
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -11,6 +11,7 @@
 import re
 import select
 import socket
+import struct
 import time
 from collections import deque
 from collections.abc import Iterable
@@ -34,6 +35,7 @@
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client leaves unread before it is served no more
 HEAD_TIMEOUT = 2.5      # s for a request to come whole, from the connect or from its first byte
 IDLE_TIMEOUT = 5.0      # s that a connection may stand with nothing open
+RESET = struct.pack("ii", 1, 0)    # to close without a linger: by a reset
 LINGER = 0.5            # s to read on after an error, so that its answer is not lost with a reset
 MOST_DRAINED = 1024 * 1024  # bytes read and dropped meanwhile
 BACKLOG = 1024          # connections that wait to be accepted
@@ -202,7 +204,8 @@
     __slots__ = ("server", "transport", "parser", "waiting", "open", "deaf", "keep", "since", "head_size",
                  "taken", "fresh", "method_url", "headers", "body", "body_size", "in_head", "in_body", "lost",
                  "choked", "place", "bare", "length", "pace", "upload", "account", "source", "chunks",
-                 "expects", "halted", "again", "passed", "drained", "drained_at", "mark", "__weakref__")
+                 "framed", "expects", "halted", "again", "passed", "drained", "drained_at", "mark",
+                 "__weakref__")
 
     def __init__(self, server: Server) -> None:
         super().__init__(server.host.budget)
@@ -221,6 +224,7 @@
         self.upload: Upload | None = None   # the open request's body, while it is passed on as it comes
         self.source: Source | None = None   # of the answer that is passed on as it comes
         self.chunks = False             # that is framed in chunks
+        self.framed = True              # it tells its end, in chunks or by its length
         self.passed = self.drained = 0  # bytes of such answers, written and taken by the client
         self.drained_at = 0.0           # when the latter last grew
         self.mark = MOST_UNREAD
@@ -314,7 +318,8 @@
             self.account.hold(self.body_size)
             if self.body_size >= self.budget.held and self.open is None and not self.waiting:
                 self._pass_on(now)
-        self._throttle(now)
+        if not self.deaf:   # else the rest is read and dropped, so that the answer isn't lost with a reset
+            self._throttle(now)
 
     def _pass_on(self, now: float) -> None:
         """Ask for the request before it has come whole, and pass the rest of it on as it comes."""
@@ -515,7 +520,7 @@
             headers.append((b"transfer-encoding", b"chunked"))
         else:
             keep = False    # its end is the connection's
-        self.keep, self.source = keep, source
+        self.keep, self.source, self.framed = keep, source, answer.length is not None or self.chunks
         self.account.flow()
         self.passed = self.drained = 0
         self.drained_at = time.monotonic()
@@ -546,10 +551,12 @@
         self._flown()
         if self.lost:
             return
-        if self.chunks or self.keep:
-            self._end()
-        else:
-            self.transport.abort()  # where the close may be the end, only a reset tells
+        if self.framed:
+            return self._end()
+        # Its end is the connection's: an orderly close would pass for it, so only a reset tells.
+        held = self.transport.get_extra_info("socket")
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.transport.abort()
 
     def _flown(self) -> None:
         self.open, self.source = None, None
--- a/tests/cells/test_module.py
+++ b/tests/cells/test_module.py
@@ -196,3 +196,20 @@
 
 
 TestCells = Cells.TestCase
+
+
+def test_a_try_that_was_probed_for_in_its_old_cell_is_not_sent_there_once_moved():
+    """Its picks of that cell went first, whatever the cell."""
+    world = made(ingresses=40, may_probe=True, probe_price=0.001, report_via="probe", report_fields=["util"])
+    probes = [a.backend for a in ask(world, "east", customer=9) if isinstance(a, api.Probe)]
+    assert set(probes) <= EAST and len(probes) == 2
+    actions = world.give(api.Cells({"east": api.Cell(EAST), "west": api.Cell(WEST)}, {9: "west"}))
+    for name in probes:
+        actions += world.give(api.ProbeResult(name, api.Status.OK, 0.001, [0.1]))
+    for _ in range(10):
+        actions += world.wait(0.05)
+        for name in [a.backend for a in actions if isinstance(a, api.Probe) and a.backend in WEST]:
+            actions += world.give(api.ProbeResult(name, api.Status.OK, 0.001, [0.1]))
+        if sent(actions):
+            break
+    assert sent(actions) and set(sent(actions)) <= WEST
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -386,3 +386,29 @@
     assert min(made.callers, made.clients, made.upstream) >= 2
     if limit // parts >= 64:
         assert parts * (made.callers + made.clients + made.upstream + 24) <= limit
+
+
+def test_the_last_word_of_a_store_in_debt_is_taken_too():
+    """Units settled after the answer leave a store below nothing; its use was dropped with it."""
+    old, new = pair(HARD)
+    hand_over(old, new)
+    c = old.control.customers[9]
+    c.level, c.fresh = -1.0, 2.0
+    state = tell_rest(old.control)
+    new.give(api.Twins(1))
+    mine = new.control.customers[9].level
+    new.give(api.Told(state))
+    assert new.control.customers[9].level == mine - 1.0 and new.control.customers[9].fresh == 2.0
+
+
+def test_a_word_that_comes_late_leaves_customers_as_they_are_served_here():
+    """Taken over what was sent meanwhile, it gave a fresh bucket and lost count of what is out."""
+    old, new = pair(HARD)
+    new.give(api.Twins(2))
+    state = tell(old.control, 2)
+    new.ask(UNSAFE, HARD, customer=9)
+    before = new.control.customers[9]
+    level, out = before.level, before.open
+    assert out > 0
+    new.give(api.Told(state))
+    assert new.control.customers[9] is before and (before.level, before.open) == (level, out)
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -474,3 +474,56 @@
             writer.close()
 
     run(play())
+
+
+def test_a_bad_request_with_a_large_body_reads_on_so_that_its_answer_arrives():
+    """Reading was paused with the fault, so the close reset the connection, and the 4xx was gone."""
+    async def play() -> None:
+        async with world(Taker()) as made:
+            reader, writer = await made.connect()
+            writer.write(request("book", BODY, left=5000, Api_Plan="gold")[:MB])
+            await until(lambda: any(c.deaf for c in made.ingress.server.connections))
+            assert not any(c.halted for c in made.ingress.server.connections)
+            writer.write(BODY[:200_000])
+            assert (await read_message(reader))[0].split()[1] == "400" and await reader.read() == b""
+            writer.close()
+
+    run(play())
+
+
+def test_a_broken_answer_of_told_length_ends_by_a_close_though_the_client_wanted_no_other():
+    """What came of it is the client's; a reset would take that along."""
+    async def play() -> None:
+        async def handle(reader, writer) -> None:
+            await read_message(reader)
+            writer.write(ANSWERS["length"][:100_000])
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        async with world(Fake(handle)) as made:
+            reader, writer = await made.connect()
+            writer.write(request(left=20_000, Connection="close"))
+            line, fields = await head_of(reader)
+            got = await reader.read()       # raises ConnectionResetError at a reset
+            assert 0 < len(got) < int(fields["content-length"]) and BODY.startswith(got)
+            writer.close()
+
+    run(play())
+
+
+def test_an_answer_that_ends_with_the_connection_is_reset_where_it_breaks():
+    """An orderly close would pass for its end."""
+    async def play() -> None:
+        async def handle(reader, writer) -> None:
+            await read_message(reader)
+            writer.write(ANSWERS["chunks"][:100_000])
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        async with world(Fake(handle)) as made:
+            reader, writer = await made.connect()
+            writer.write(request(left=20_000).replace(b"HTTP/1.1", b"HTTP/1.0"))
+            await head_of(reader)
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+            writer.close()
+
+    run(play())
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -273,3 +273,18 @@
             writer.close()
 
     run(play())
+
+
+def test_a_folder_that_cant_be_used_costs_the_word_and_not_the_start():
+    async def play() -> None:
+        async with site() as made:
+            made.folder = made.folder + "/gone"
+            only = made.process()
+            await only.start()
+            assert "has no word for other processes" in only.log.read_text()
+            reader, writer = await asyncio.open_connection(*made.socket.getsockname())
+            writer.write(request())
+            assert (await read_message(reader))[0].endswith("200 OK")
+            writer.close()
+
+    run(play())
