Control service asks the life-cycle: NOT_SERVING before its streams end

Need: one life-cycle is to be asked by every front, and the control service kept its own word: at SIGTERM it went on saying SERVING until its streams were cut.

Change: ControlServer has a LifeCycle; readiness (grpc.health.v1) is its ready and a fresh roster; stop() moves it first.

Result: a watcher of its health reads NOT_SERVING before the end (tests/xds/test_control_server.py).

--- a/fennelpoint/xds/server.py
+++ b/fennelpoint/xds/server.py
@@ -23,6 +23,7 @@
 from grpc_health.v1 import health, health_pb2, health_pb2_grpc
 
 from fennelpoint import interface as api
+from fennelpoint.lifecycle import Event, LifeCycle
 from fennelpoint.net.discovery import Address, Discovery
 from fennelpoint.net.notice import complain, log
 from fennelpoint.operator import Control
@@ -98,6 +99,7 @@
                  counter: Address | None = None) -> None:
         """`counter`: the ingresses' own, where quotas are handed out and the settings tell of one."""
         self.seed, self.counter = seed, counter
+        self.life = LifeCycle(time.monotonic())
         self.quotas: Quotas | None = None
         self.loads = Loads()
         self.limits = Limits(control, settings) if control.quotas != "off" else None
@@ -201,6 +203,8 @@
         return self.port
 
     async def stop(self) -> None:
+        self.life.handle(Event.TERM, time.monotonic())
+        await self._tell_health()
         self.discovery.stop()
         self.ticker.cancel()
         if self.writing is not None:
@@ -219,6 +223,7 @@
 
     def _told(self, roster: api.Roster, addresses: dict[str, Address]) -> None:
         self.members.told(roster, addresses)
+        self.life.handle(Event.LISTED, time.monotonic())
         self.publish()
 
     async def _tick(self) -> None:
@@ -239,9 +244,9 @@
                 self._wake()
 
     async def _tell_health(self) -> None:
-        """Readiness (grpc.health.v1): NOT_SERVING while a newcomer would be given nothing."""
-        told = health_pb2.HealthCheckResponse
-        await self.health.set("", told.SERVING if self.fresh else told.NOT_SERVING)
+        """Readiness (grpc.health.v1): NOT_SERVING while a newcomer would be given nothing, or at the end."""
+        told, ready = health_pb2.HealthCheckResponse, self.life.ready and self.fresh
+        await self.health.set("", told.SERVING if ready else told.NOT_SERVING)
 
     def publish(self) -> None:
         """Make every view's next snapshot and wake who follows it."""
--- a/tests/xds/test_control_server.py
+++ b/tests/xds/test_control_server.py
@@ -16,6 +16,7 @@
 
 from fennelpoint.demo import EXAMPLE
 from fennelpoint.demo import SETTINGS as EXAMPLE_SETTINGS
+from fennelpoint.lifecycle import Phase
 from fennelpoint.routes.description import Site, load
 from fennelpoint.routes.paths import parse_template
 from fennelpoint.routes.table import RouteTable
@@ -505,3 +506,17 @@
             assert await call.code() is not grpc.StatusCode.OK
 
     play(test, max_view_age_s=1.0)
+
+
+def test_a_service_that_ends_says_so_before_its_streams_do():
+    async def test(discovery, server) -> None:
+        await told_of(server, health_pb2.HealthCheckResponse.SERVING)
+        async with grpc.aio.insecure_channel(f"127.0.0.1:{server.port}") as channel:
+            watch = health_pb2_grpc.HealthStub(channel).Watch(health_pb2.HealthCheckRequest())
+            assert (await watch.read()).status == health_pb2.HealthCheckResponse.SERVING
+            ending = asyncio.ensure_future(server.stop())
+            assert (await watch.read()).status == health_pb2.HealthCheckResponse.NOT_SERVING
+            assert server.life.phase is Phase.STOPPING
+            await ending
+
+    play(test)
