--- a/fennelpoint/lifecycle.py
+++ b/fennelpoint/lifecycle.py
@@ -51,6 +51,7 @@
 
 P, E = Phase, Event
 ENDING = (P.STOPPING, P.LEAVING)
+READY, KEEPING = (P.SERVING, P.LEAVING), (P.SERVING, P.STARTING)
 MOVES: dict[tuple[Phase, Event], Phase] = {
     (P.STARTING, E.LISTED): P.SERVING, (P.SERVING, E.LISTED): P.SERVING,
     (P.DRAINING, E.LISTED): P.DRAINING, (P.DRAINED, E.LISTED): P.DRAINED,
@@ -88,12 +89,12 @@
     @property
     def ready(self) -> bool:
         """Whether new clients are to come to this address."""
-        return self.phase in (Phase.SERVING, Phase.LEAVING)
+        return self.phase in READY
 
     @property
     def keeps(self) -> bool:
         """Whether a client's connection outlives its answer."""
-        return self.phase in (Phase.STARTING, Phase.SERVING)
+        return self.phase in KEEPING
 
     @property
     def ending(self) -> bool:
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -169,8 +169,7 @@
         self.status, self.headers, self.body, self.size = 0, [], [], 0
         self.complete = self.excess = self.keep = False
         self.heard, self.doubt = 0.0, ""
-        self.sink, self.length, self.got = None, None, 0
-        self.flows = self.open_end = self.in_body = False
+        self.flows = self.open_end = self.in_body = False   # sink, length and got go with these
 
     def stale(self) -> bool:
         """Whether the peer has closed its side, or said something unasked, since the last answer."""
@@ -232,27 +231,31 @@
         self.status = self.parser.get_status_code()
         if self.status == 200:
             length = next((value for name, value in self.headers if name == b"content-length"), None)
+            self.length = None if length is None else int(length)
             if length is not None:
-                self.length = int(length)
                 if self.length > MOST:  # guards the wait: an answer of gigabytes is not waited for
                     self.doubt = "is too large"
             else:
                 self.open_end = not any(name == b"transfer-encoding" for name, _ in self.headers)
-            self.flows = self.length is None or self.length > WHOLE
+            self.flows, self.got = length is None or self.length > WHOLE, 0
         self.in_body = self.status >= 200
 
     def on_body(self, body: bytes) -> None:
         if self.complete or self.doubt:
             return
+        if self.sink is None:
+            self.body.append(body)
+        if self.flows:
+            self._flow(body)
+
+    def _flow(self, body: bytes) -> None:
         self.got += len(body)
         if self.got > MOST:
             self.doubt = "has no end"
         elif self.sink is not None:
             self.sink.more(body)
-        else:
-            self.body.append(body)
-            if self.flows and self.got >= COMMIT and self.length != self.got:
-                self._begin()
+        elif self.got >= COMMIT and self.length != self.got:
+            self._begin()
 
     def _begin(self) -> None:
         """A large answer: from here on it goes out as it comes, and can't be had from another any more."""
--- a/fennelpoint/upkeep.py
+++ b/fennelpoint/upkeep.py
@@ -106,21 +106,22 @@
 
     def answer(self, b: Backend, request: int) -> None:
         """An attempt is not out any more, also where the client has left meanwhile."""
-        if (t := b.begun.pop(request, None)) is None:
-            self.begin(b, request)
-            t = b.begun.pop(request)
+        t = self._free(b, request) if request in b.out else b.begun.pop(request)
         t.customer.open -= 1
 
     def begin(self, b: Backend, request: int) -> None:
         """Its answer is under way: the backend's work is done, and only its customer counts it as out."""
+        b.begun[request] = self._free(b, request)
+
+    def _free(self, b: Backend, request: int) -> Try:
         work, _, _, t = b.out.pop(request)
-        b.begun[request] = t
         t.crowd.out -= 1
         t.crowd.spilt -= t.spills
         self.out -= 1
         b.load = max(0.0, b.load - work) if b.out else 0.0
         if not b.out:
             self.busy.pop(b.entry.backend, None)
+        return t
 
     def probed(self, backend: object) -> list[Try]:
         """The tries for which this was the last probe to be answered."""
