Ceilings: no try is let in by a store on the counter that is not right

The counter's name was new 23 s into its epoch, so that 105 units had run over; the one who found it new was to tell them, and its call timed out (of six calls from 0.785 to 1.001 s four had no answer in time: the counter was crowded). To everyone else the name was not new any more and the store full; one try in ten was to put that right, first at 4.659 s, and nothing bounded what went out before.

At fault: `level_of` in tally.py (a store far over its burst was taken as full, `draw < OTHERS_FIX`), and `_judge` in control.py, which let the try in by it at once.

Ruled out on that case, from the ledger: beliefs (asks, held and width 4 were the same at all four), untold use (9 tries, each within its part), a crowd sent late (told tries waited 7 to 45 ms).

Change: whoever finds a store new or too full tells what is missing with the try's own units, and goes by the answer to that. A name that was put right holds a base besides, so that a new or lost one is known as such whatever others added meanwhile, and who told the same twice knows it and takes it back. Under a ceiling a store that nobody can tell of is empty, not full. Of the issue's other suspicions these could break it too and are closed: a word that waited over two time-outs no longer stands for its part of the ceiling, a try that never came to a backend draws anew, a customer's part is that of the largest set named, of all ingresses where we are not of the set, and a ceiling once named binds. What a process has not used since its start counts for its own part (it began at nothing with each customer).

--- a/fennelpoint/choice.py
+++ b/fennelpoint/choice.py
@@ -16,8 +16,5 @@
 
 
 def cold_odds(share: float, caution: float = COLD_CAUTION) -> float:
-    """How often a backend of this share is sent work that is its by weight: as seldom as it is cold.
-
-    An ingress holds its attempts back when they come late; proxies go by weights alone.
-    """
+    """How often a backend of this share is sent work that is its by weight: as seldom as it is cold."""
     return share ** caution
--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -1,9 +1,7 @@
 """Every decision of the gateway; its types, events and actions stand in `interface.py`, read that first.
 
 A request is counted and placed (`_admit`), held while it is short of units, of an answer or of a backend
-(`_pump`), sent (`_choose`), and ended by its outcome (`_outcome`); each period cuts or gives back room
-(`_regulate`).  What comes from the paper and what was changed is told where it is done.
-"""
+(`_pump`), sent (`_choose`), ended by its outcome (`_outcome`); each period cuts or gives (`_regulate`)."""
 
 from __future__ import annotations
 
@@ -15,8 +13,8 @@
 from fennelpoint.choice import cold_odds, cold_share
 from fennelpoint.handover import share_out, take, take_health
 from fennelpoint.state import Ask, Backend, Crowd, Customer, Cut, Try
-from fennelpoint.tally import EPOCH, LIFE, MARK, NEW, level_of, name_of, owed
-from fennelpoint.upkeep import Fleet, Line, Sums, Timers, fill, forget, new_total, same_group, settled
+from fennelpoint.tally import DEEP, DEEP_FIX, EPOCH, LIFE, MARK, known, lacks, level_of, name_of, owed, twice
+from fennelpoint.upkeep import Fleet, Line, Timers, fill, forget, new_total, part, same_group, settled
 
 PERIOD, COUNT_PERIOD = 0.5, 1.0  # s; short against bursts of seconds; a counter call has a price
 STEPS, STEP = 3, 0.05   # m, and the share of the rate sent that one constant step takes off
@@ -55,9 +53,17 @@
 REGIONS = (("meet", "failed"), ("lucky", "exceeded"))  # within quota or over it; within aim or over it
 
 
-class Fit(Sums):
+class Fit:
     """Running least squares of latency against rate sent, with forgetting."""
 
+    def __init__(self) -> None:
+        self.n = self.x = self.y = self.xx = self.xy = self.yy = 0.0
+
+    def add(self, x: float, y: float, memory: float) -> None:
+        """One more point; `memory` is the weight of those before."""
+        for name, value in (("n", 1.0), ("x", x), ("y", y), ("xx", x * x), ("xy", x * y), ("yy", y * y)):
+            setattr(self, name, getattr(self, name) * memory + value)
+
     def at(self, x: float) -> tuple[float, float]:
         """The latency predicted there and its 1 / S_p (paper 4.4); 0 for too few or equal points."""
         n = max(self.n, 1e-9)
@@ -81,7 +87,7 @@
         self.active: dict[int, Customer] = {}  # those that the period looks at
         self.typical = [FIRST_GUESS * c.aim for c in settings.classes]  # latency of a class, uncrowded
         self.usual = list(self.typical)  # and as it is now
-        self.fit, self.work, self.period_at = Fit(), 0.0, now
+        self.fit, self.work, self.period_at, self.born = Fit(), 0.0, now, now
         self.crowd = Crowd(now, now)    # of all backends
         self.cells: dict[str, Crowd] = {}   # by name; none: there are no cells
         self.retries, self.cut, self.pressed = RETRY_BURST, None, False
@@ -113,20 +119,36 @@
             self._period(now) if due.token == TOKEN_PERIOD else self._pump(now)
 
     def _customer(self, ask: api.Request, now: float) -> Customer:
-        plan, width = self.settings.plans[ask.plan], max(1.0, ask.width) * self.parts
+        plan, me = self.settings.plans[ask.plan], self.settings.me
+        width = max(1.0, ask.width) * self.parts
+        # Guards the sum over all: who is not of the set that a request names takes the least part there is.
+        if plan.ceiling_rate and (me - ask.first) % self.settings.ingresses >= ask.width:
+            width = self.settings.ingresses * self.parts
         if (c := self.customers.pop(ask.customer, None)) is None:
-            c = Customer(ask.customer, ask.plan, width, 1.0 / width, max(plan.burst / width, ask.units),
-                         store=plan.burst, filled=now, total_at=now,
+            c = Customer(ask.customer, ask.plan, 0.0, 1.0 / width, max(plan.burst / width, ask.units),
+                         store=plan.burst, filled=now, total_at=now, came=now,
                          count_at=now + self.random.uniform(0.3, 1.0) * COUNT_PERIOD)
-            least = ASK_EACH if self.blind > 0.5 else SPARSE
-            largest = self.settings.most_units * width / self.parts
-            c.asks = self.settings.has_counter and 0.0 < plan.rate * least < largest
-            # Guards shares under one request: a ceiling is split evenly where its parts hold the largest.
-            c.held = c.asks and (plan.ceiling_burst - plan.burst >= largest or plan.ceiling_burst < largest)
+            # Nothing was sent for it from here since this process began, or since it was forgotten.
+            self._part(c, width)
+            c.ceiling = part(c, plan)[1] * min(now - self.born, FORGET)
+        elif width > c.width or c.plan != ask.plan:
+            # Guards the sum against requests that contradict each other: the smaller part and the ceiling.
+            unbound = plan.ceiling_rate and not self.settings.plans[c.plan].ceiling_rate
+            c.plan = ask.plan if unbound else c.plan
+            self._part(c, max(width, c.width))
         self.customers[ask.customer], c.seen = c, now
         forget(self.customers, SWEEP, now - FORGET)
         return c
 
+    def _part(self, c: Customer, width: float) -> None:
+        """So many hold a part of a customer's stores: whether its tries ask, and what holds its ceiling."""
+        plan, c.width = self.settings.plans[c.plan], width
+        least = ASK_EACH if self.blind > 0.5 else SPARSE
+        largest = self.settings.most_units * width / self.parts
+        c.asks = self.settings.has_counter and 0.0 < plan.rate * least < largest
+        # Guards shares under one request: a ceiling is split evenly where its parts hold the largest.
+        c.held = c.asks and (plan.ceiling_burst - plan.burst >= largest or plan.ceiling_burst < largest)
+
     def _depth(self, c: Customer) -> float:
         burst = self.settings.plans[c.plan].burst
         return max(burst * c.share, min(burst, self.settings.most_units))
@@ -138,13 +160,10 @@
     def _count(self, c: Customer, now: float) -> None:
         """Tell the counter what was taken from the quota, once a period, and learn what all ingresses took.
 
-        What is refused takes nothing: told as taken, it emptied a store that no one had used, at every
-        ingress, for all who ask for about their quota.  It is told to a name of its own, as the shares go by
-        all that is asked, and only while the customer is short here.  Then, and once half of what a read
-        granted is gone, the next read does not wait for the period.  This covers retries, floods and sudden
-        crowds of one customer alike.  It would hurt where many customers are short at once and the counter
-        can't bear three calls for one.
-        """
+        What is refused takes nothing: told as taken, it emptied stores that no one had used.  It is told to a
+        name of its own, as the shares go by all that is asked, while the customer is short here.  Then, and
+        once half of what a read granted is gone, the next read does not wait for the period.  It would hurt
+        where many are short at once and the counter can't bear three calls for one."""
         if not self.settings.has_counter or c.calling is not None:
             return
         plan, period = self.settings.plans[c.plan], COUNT_PERIOD
@@ -232,7 +251,7 @@
 
     def _ask_counter(self, t: Try, now: float) -> None:
         """A try of a customer that few come from here waits for its store's word; in trouble fewer ask."""
-        c, units, plan = t.customer, t.ask.units, self.settings.plans[t.ask.plan]
+        c, units, plan = t.customer, t.ask.units, self.settings.plans[t.customer.plan]
         self.asking, self.asked_at = min(1.0, self.asking + ASK_BACK * (now - self.asked_at)), now
         part = self.asking * t.worth * units / self.usual_worth  # the dear ones first
         self.usual_worth += LEARN / 4 * (t.worth * units - self.usual_worth)
@@ -243,9 +262,7 @@
         elif self.asking >= 1.0 or self.random.random() < part:
             own = units if c.odds >= EVEN else MARK  # likely short: it only reads, and takes if there is room
             use, c.untold = self._untold(c, now), 0.0
-            self._tell(c, own + use, now, t=t, own=own, use=use)
-            t.not_before = now + 2 * self.settings.counter_timeout  # no answer may come
-            return self._hold(t, now)
+            return self._ask(t, own + use, now, own=own, use=use)
         else:  # unasked: by what the others were told
             odds = min(c.odds, self.odds[t.ask.plan][t.ask.cls])
             t.inside = None if odds >= (1.0 - odds) * plan.over_cost else False
@@ -258,9 +275,15 @@
         c.untold_at = now
         return c.untold
 
-    def _tell(self, c: Customer, amount: float, now: float, **values: object) -> None:
-        name, start = name_of(c.key, now)
-        self.asks.setdefault(name, deque()).append(Ask(c, start, **values))
+    def _ask(self, t: Try, amount: float, now: float, **values: float) -> None:
+        """Tell the counter and let the try wait for its answer, but not longer than one may take."""
+        self._tell(t.customer, amount, now, t=t, **values)
+        t.not_before = t.good_until = now + 2 * self.settings.counter_timeout
+        self._hold(t, now)
+
+    def _tell(self, c: Customer, amount: float, now: float, last: bool = False, **values: object) -> None:
+        name, start = name_of(c.key, now - EPOCH * last)
+        self.asks.setdefault(name, deque()).append(Ask(c, start, now, last=last, **values))
         self.out.append(api.Count(name, amount, LIFE))
 
     def _give_back(self, t: Try, now: float) -> None:
@@ -283,31 +306,59 @@
         t, plan = ask.t, self.settings.plans[ask.customer.plan]
         if not ok and reply.status is not api.Status.TIMEOUT:   # else it may have been added
             self._untold(ask.customer, now, ask.use)
-        elif ok and ask.last and (debt := owed(plan, now - ask.start, reply.total)) > 0.0:
-            self._tell(ask.customer, debt, now)
-        elif ok and t is not None:
-            self._judge(ask, plan, reply.total - ask.own, now)
+        if ask.last:
+            self._last(ask, plan, owed(plan, ask.at - ask.start, reply.total if ok else 0.0), now)
+        elif ok and t is not None and self._judge(ask, plan, reply.total - ask.own - ask.fix, now):
+            return  # it waits for one more answer
         if t is not None and self.line.release(t):
             t.not_before = now
             self._enter(t, now)
 
-    def _judge(self, ask: Ask, plan: api.Plan, before: float, now: float) -> None:
-        """Let a try in if its customer's store holds its units; put right what the counter was told of it."""
-        c, t, units = ask.customer, ask.t, ask.t.ask.units
-        level, missing = level_of(plan, now - ask.start, before, self.random.random())
-        if before <= NEW and c.left_at >= ask.start:    # the counts were lost: go by what they told here
-            known = min(level, c.left + plan.rate * (now - c.left_at))
-            level, missing = known, missing + level - known
-        elif before <= NEW:     # guards against a burst on top at each turn of an epoch
-            self._tell(c, 0.0, now - EPOCH, last=True)
-        t.inside = t.told = level >= units
-        took = units if t.inside and t.ask.request in self.line.held else 0.0   # else its client has left
-        if abs(missing := missing + took - ask.own) > 2.0 * MARK:
-            self._tell(c, missing, now, use=took - ask.own)
+    def _judge(self, ask: Ask, plan: api.Plan, total: float, now: float) -> bool:
+        """Let a try in if its customer's store holds it; `total` is without what this call told."""
+        c, t, units, age = ask.customer, ask.t, ask.t.ask.units, now - ask.start
+        waits, found = t.ask.request in self.line.held, not known(plan, total)  # else its client has left
+        back = ask.fix if ask.fix and twice(plan, age, total, ask.fix) else 0.0
+        total += ask.fix - back
+        # A name that was lost goes by what it told here; under a ceiling it is empty: others may have it.
+        fresh = plan.burst if c.left_at < ask.start else c.left + plan.rate * (now - c.left_at)
+        fresh = 0.0 if plan.ceiling_rate else min(plan.burst, fresh)
+        fix, level = lacks(plan, age, total, fresh), level_of(plan, age, total)
+        if waits and (fix or ask.own < units <= level) and not ask.fix:     # guards reads that met, too
+            self._ask(t, fix + units - ask.own, now, own=units, fix=fix)
+            return True
+        if ask.fix and found and not back and (plan.ceiling_rate or c.left_at < ask.start):
+            # Guards against a burst on top at each turn of an epoch.  Under a ceiling the try waits for it.
+            if waits and plan.ceiling_rate:
+                self._ask(t, 0.0, now, last=True, own=ask.own)
+                return True
+            self._tell(c, 0.0, now, last=True)
+        t.inside = t.told = waits and not fix and level >= units
+        # Where nobody can tell: a store that was begun empty, or is below nothing, stands for no refusal.
+        young = now - c.came < plan.burst / plan.rate or level < -DEEP * plan.burst
+        if fix or plan.ceiling_rate and young and not t.inside:
+            t.inside = None
+        took = units * t.told
+        if abs(change := took - ask.own - back) > 2.0 * MARK:
+            self._tell(c, change, now, use=took - ask.own)
         c.left, c.left_at, c.short_at = max(0.0, level - took), now, c.short_at if t.inside else now
-        c.odds += LEARN * (t.inside - c.odds)
-        self.odds[c.plan][t.ask.cls] += LEARN / 2 * (t.inside - self.odds[c.plan][t.ask.cls])
-        c.level = 0.0 if not t.inside else c.level  # to go by while the counter is silent
+        c.odds += LEARN * (t.told - c.odds)
+        self.odds[c.plan][t.ask.cls] += LEARN / 2 * (t.told - self.odds[c.plan][t.ask.cls])
+        c.level = 0.0 if t.inside is False else c.level     # to go by while the counter is silent
+        # Guards against a customer kept out by corrections that met, or by use told late: no true store is
+        # below nothing.  Not under a ceiling: what several put right at once would pass it.
+        if level < -DEEP * plan.burst and not plan.ceiling_rate and self.random.random() < DEEP_FIX:
+            self._tell(c, level, now)
+        return False
+
+    def _last(self, ask: Ask, plan: api.Plan, debt: float, now: float) -> None:
+        """The debt of the epoch before is taken over; under a ceiling this one was begun empty."""
+        t, left = ask.t, plan.burst - debt
+        if fits := t is not None and t.ask.request in self.line.held and left >= ask.own:
+            t.inside = t.told = True
+        change = (-left if plan.ceiling_rate else debt) - ask.own * (not fits)
+        if abs(change) > 2.0 * MARK:
+            self._tell(ask.customer, change, now)
 
     def _admit(self, ask: api.Request, now: float) -> None:
         c, cls, plan = self._customer(ask, now), self.settings.classes[ask.cls], self.settings.plans[ask.plan]
@@ -327,7 +378,7 @@
 
     def _enter(self, t: Try, now: float) -> None:
         """Send a new try, hold it while its aim can be met, or refuse it at once."""
-        c, ask, plan = t.customer, t.ask, self.settings.plans[t.ask.plan]
+        c, ask, plan = t.customer, t.ask, self.settings.plans[t.customer.plan]
         if self.cells and not self._route(t, now):
             return self._refuse(t, now, REST_MOST)
         # Guards dear tries that are wanted soon: the line is kept by worth, and cheap ones come after.
@@ -338,8 +389,8 @@
         need = ask.units + ahead  # and the s until the bucket holds its units and those that wait before it
         rate = plan.rate * max(c.share, 0.01) if t.inside is None and plan.rate else inf
         wait = (need + self._kept(t, now) - c.level) / rate
-        if plan.ceiling_rate and not (t.told and c.held):
-            wait = max(wait, (need - c.ceiling) * c.width / plan.ceiling_rate)
+        if plan.ceiling_rate and not self._stands(t, now):
+            wait = max(wait, (need - c.ceiling) / max(part(c, plan)[1], 1e-9))
         late = t.inside is False or now + max(0.0, wait) + LATE_MARGIN * self.usual[ask.cls] > t.aim_at
         if t.inside is False and plan.rate:
             wait = max(wait, (ask.units - min(c.left, ask.units / 2)) / plan.rate)
@@ -347,11 +398,13 @@
 
     def _place(self, t: Try, now: float) -> bool:
         """Send the try now if its quota, its cut and a backend allow it."""
-        c, units, plan, inside = t.customer, t.ask.units, self.settings.plans[t.ask.plan], True
-        if not t.charged:
+        c, units, plan, inside = t.customer, t.ask.units, self.settings.plans[t.customer.plan], True
+        draws = plan.ceiling_rate > 0.0 and not t.reached and not self._stands(t, now)
+        if draws or not t.charged:
             self._fill(c, now)
-            if plan.ceiling_rate and not (t.told and c.held) and c.ceiling < units:
-                return False
+        if draws and c.ceiling < units:
+            return False
+        if not t.charged:
             if c.cap is not None and c.cap_level < min(units, max(c.cap, self.settings.most_units)):
                 return False
             room = not plan.rate or (c.level >= units + self._kept(t, now) if t.inside is None else t.inside)
@@ -363,8 +416,9 @@
         full = now < crowd.rest_until or crowd.quiet() >= max(1.0, most)
         if full or (b := self._choose(t, now)) is None:
             return False
+        t.drawn = units * draws
+        c.ceiling -= t.drawn
         if not t.charged:
-            c.ceiling -= units * (not (t.told and c.held))
             c.cap_level, c.sent = c.cap_level - units, c.sent + units
             c.level -= min(c.level, units) if inside and plan.rate else 0.0
             c.fresh, c.own = c.fresh + units * inside, c.own + units * inside
@@ -380,12 +434,14 @@
         self.out.append(api.Send(t.ask.request, b.entry.backend))
         return True
 
+    def _stands(self, t: Try, now: float) -> bool:
+        """Whether the counter's word stands for its part of the ceiling; waiting tries go out all at once."""
+        return t.told and t.customer.held and now <= t.good_until
+
     def _kept(self, t: Try, now: float) -> float:
-        """Units of a short customer's bucket that its cheap tries leave to the dear ones it asks for, too.
+        """Units of a short customer's bucket that its cheap tries, being more, leave to the dear ones.
 
-        Guards the worth of a quota: whoever asks for more than it has gets as many units either way, but the
-        cheap tries, being more, came first.  Part of the bucket at most: a try must find it full enough.
-        """
+        Part of the bucket at most: a try must find it full enough."""
         c, lately = t.customer, now - SHORT_FOR
         if t.worth >= c.top or c.top_at < lately or c.short_at < lately:
             return 0.0
@@ -394,8 +450,7 @@
     def _hold(self, t: Try, now: float) -> None:
         """Keep it until it may be sent, or until its aim or its client can't be met any more.
 
-        What no backend has had is ended before half of its time is up: its client may try elsewhere.
-        """
+        What no backend has had is ended before half of its time is up: its client may try elsewhere."""
         t.last = min(t.aim_at - LATE_MARGIN * self.usual[t.ask.cls], t.ends, inf if t.reached else t.half)
         self.line.hold(t)
         self.out += self.timers.wake(TOKEN_PUMP, min(self._due(t, now), t.last), now)
@@ -403,9 +458,8 @@
     def _due(self, t: Try, now: float) -> float:
         """When to look at a held try again: not before its bucket, filled by time alone, can hold its units.
 
-        Guards the CPU: looking every PUMP at what only waits for its quota was half of all events.
-        """
-        c, plan, soon = t.customer, self.settings.plans[t.ask.plan], max(now + PUMP, t.not_before)
+        Guards the CPU: looking every PUMP at what only waits for its quota was half of all events."""
+        c, plan, soon = t.customer, self.settings.plans[t.customer.plan], max(now + PUMP, t.not_before)
         if t.charged or t.inside is not None or not plan.rate or plan.over_worth > 0.0:
             return soon
         missing = t.ask.units + self._kept(t, now) - c.level
@@ -502,6 +556,8 @@
             if not o.status.never_ran and t.ran_at is None:
                 t.ran_at, t.ran_on = now - o.latency, backend.entry if backend else None
             t.reached = t.reached or o.status not in (api.Status.CONNECT_FAILED, api.Status.MOOT)
+            if not t.reached:   # what never came took nothing: it draws again when it is sent again
+                t.customer.ceiling, t.drawn = t.customer.ceiling + t.drawn, 0.0
             t.not_before = now + PAUSE_FULL * t.attempts * (o.status in (api.Status.FULL, api.Status.MOOT))
             again = t.ran_at is not None  # as time, effect and a budget against retry storms allow
             barred = o.status is api.Status.TIMEOUT or self.retries < 1.0 or not self._allowed(t, now)
@@ -622,8 +678,7 @@
         """Take in a backend's own word on the requests it holds."""
         told = {k: v for k, v in zip(self.settings.report_fields, values, strict=False) if 0.0 <= v < inf}
         # Guards against flocking: util tells how busy the cores are, not how many wait.  Taken for a line
-        # without bound, one old report of a busy moment kept all ingresses away from a server that had
-        # long been idle, and they met at the one whose last word was the lowest.
+        # without bound, one old report of a busy moment kept all ingresses away from an idle server.
         held = max(told.get("inflight", 0.0), told.get("queue", 0.0), min(1.0, told.get("util", 0.0)))
         self.usual_held += LEARN / 4 * (held - self.usual_held) if told else 0.0
         # Where nothing is told: guards against reports that stop just from the busy ones.
@@ -634,8 +689,7 @@
         if o.status is api.Status.FULL:
             b.rest_until = now + 2 * PAUSE_FULL
             # Guards against a stop of all for a few that were turned away: no latency tells of a crowd here,
-            # so it takes most of them to cut, and no sooner than an answer would show the last cut.  It
-            # covers backends at their end and short queues; a fleet that is full to the brim is cut later.
+            # so it takes most of them to cut, and no sooner than an answer would show the last cut.
             self._press(crowd, 2.0 * TARGET, max(self.usual), now)
         elif o.status is api.Status.OK and t is not None and 0.0 <= o.latency < inf:
             cls, aim, slow, b.fails = t.ask.cls, self.settings.classes[t.ask.cls].aim, self._slow(b, now), 0
--- a/fennelpoint/handover.py
+++ b/fennelpoint/handover.py
@@ -1,15 +1,14 @@
 """What one process of an ingress tells the next, and two processes that are one ingress meanwhile.
 
 Stores are split, never copied: what is told is taken off here first, so a word that is lost loses room and
-passes no quota.  All figures are checked when they are taken in; one that makes no sense costs its entry.
-"""
+passes no quota.  All figures are checked when they are taken in; one that makes no sense costs its entry."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from math import isfinite
 from typing import TYPE_CHECKING
 
+from fennelpoint.record import entries, finite, same_shape
 from fennelpoint.state import Backend, Crowd, Customer
 
 if TYPE_CHECKING:
@@ -42,15 +41,10 @@
     return {"": control.crowd, **control.cells}
 
 
-def _finite(values: Iterable[object]) -> bool:
-    return all(isinstance(v, int | float) and not isinstance(v, bool) and isfinite(v) for v in values)
-
-
 def tell(control: Controller, parts: int) -> dict:
     """For a process that is to be one of `parts`: all that is known, and its part of the stores.
 
-    Take the same part off here with `share_out` at once: told and kept, it would be there twice.
-    """
+    Take the same part off here with `share_out` at once: told and kept, it would be there twice."""
     customers = []
     for c in list(reversed(control.customers.values()))[:MOST_TOLD]:
         known = {n: getattr(c, n) for n in COUNTED if getattr(c, n) is not None and isfinite(getattr(c, n))}
@@ -74,44 +68,34 @@
 def take(control: Controller, told: dict, now: float) -> int:
     """Go on from there; how many entries could not be used."""
     bad = 0
-    for entry in _list(told.get("customers")):
+    for entry in entries(told.get("customers")):
         bad += not _take_customer(control, entry, now)
-    for entry in _list(told.get("rest")):
+    for entry in entries(told.get("rest")):
         bad += not _take_rest(control, entry)
     for name, (low, high) in OWN.items():
-        if _finite([value := told.get(name)]):
+        if finite([value := told.get(name)]):
             setattr(control, name, type(low)(min(high, max(low, value))))
     crowds = told.get("crowds") if isinstance(told.get("crowds"), dict) else {}
     for name, crowd in _crowds(control).items():
         values = crowds.get(name)
-        if isinstance(values, list) and len(values) == len(CROWD) and _finite(values):
+        if isinstance(values, list) and len(values) == len(CROWD) and finite(values):
             for (own, (low, high)), value in zip(CROWD.items(), values, strict=True):
                 setattr(crowd, own, min(high, max(low, value)))
             crowd.window = max(1.0, crowd.window / control.parts)
     for name in ("typical", "usual"):
         values, own = told.get(name), getattr(control, name)
-        if isinstance(values, list) and len(values) == len(own) and _finite(values) and min(values) > 0.0:
+        if isinstance(values, list) and len(values) == len(own) and finite(values) and min(values) > 0.0:
             setattr(control, name, [float(v) for v in values])
-    if _same_shape(told.get("odds"), control.odds):
+    if same_shape(told.get("odds"), control.odds):
         control.odds = told["odds"]
     if isinstance(health := told.get("backends"), dict):
         control.health.update({key: values for key, values in health.items() if isinstance(values, list)
-                               and len(values) == 1 + len(HEALTH) and _finite(values)})
+                               and len(values) == 1 + len(HEALTH) and finite(values)})
         for b in control.fleet.known.values():
             take_health(control, b, now)
     return bad
 
 
-def _list(told: object) -> list:
-    return told if isinstance(told, list) else []
-
-
-def _same_shape(told: object, own: list[list[float]]) -> bool:
-    return isinstance(told, list) and len(told) == len(own) and all(
-        isinstance(row, list) and len(row) == len(mine) and _finite(row)
-        for row, mine in zip(told, own, strict=True))
-
-
 def take_health(control: Controller, b: Backend, now: float) -> None:
     """What the process before knew of a backend, if this is the same start of it."""
     if (values := control.health.pop(b.entry.backend, None)) is not None and values[0] == b.entry.started_at:
@@ -128,7 +112,7 @@
     key, plan, width = entry.get("key"), entry.get("plan"), entry.get("width")
     stores, share = [entry.get(n) for n in SPLIT], entry.get("share")
     if (type(key) is not int or type(plan) is not int or not 0 <= plan < len(control.settings.plans)
-            or not _finite([width, share, *stores, *figures.values()]) or not 1.0 <= width
+            or not finite([width, share, *stores, *figures.values()]) or not 1.0 <= width
             or not 0.0 <= share <= 1.0):
         return False
     if key in control.customers:
@@ -147,7 +131,7 @@
 
 def _take_rest(control: Controller, entry: object) -> bool:
     """Added to what there is: the two were parts of one store."""
-    if not isinstance(entry, list) or len(entry) != 2 + len(SPLIT) + len(OWED) or not _finite(entry):
+    if not isinstance(entry, list) or len(entry) != 2 + len(SPLIT) + len(OWED) or not finite(entry):
         return False
     key, plan, level, ceiling, fresh, untold, untold_at = entry
     if (c := control.customers.get(key)) is None or c.plan != plan or min(fresh, untold) < 0.0:
--- a/fennelpoint/record.py
+++ b/fennelpoint/record.py
@@ -7,7 +7,9 @@
 
 import hashlib
 import json
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import isfinite
 
 SCHEMA = 1
 MOST = 2 * 1024 * 1024  # bytes
@@ -77,3 +79,21 @@
     if not now - OLDEST <= record.at <= now + AHEAD:
         raise BadRecord(f"it is {now - record.at:.1f} s old")
     return record
+
+
+# What a state that was read may be taken for
+
+def finite(values: Iterable[object]) -> bool:
+    """Whether all of them are numbers that can be reckoned with."""
+    return all(isinstance(v, int | float) and not isinstance(v, bool) and isfinite(v) for v in values)
+
+
+def entries(told: object) -> list:
+    return told if isinstance(told, list) else []
+
+
+def same_shape(told: object, own: list[list[float]]) -> bool:
+    """Whether it is a table of numbers, as large as our own."""
+    return isinstance(told, list) and len(told) == len(own) and all(
+        isinstance(row, list) and len(row) == len(mine) and finite(row)
+        for row, mine in zip(told, own, strict=True))
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -27,11 +27,7 @@
     ready: list[Backend] | None = None  # of its backends those that something may be sent to
 
     def quiet(self) -> int:
-        """Attempts out that tell of a crowd.
-
-        Guards an ingress with few of them: those that a silent backend holds are not in anybody's way, and
-        filled a window of two until their deadlines.
-        """
+        """Attempts out that tell of a crowd: what a silent backend holds is in nobody's way."""
         return self.out - min(self.stuck, self.out // 2)
 
 
@@ -69,6 +65,7 @@
     total_at: float         # when the last total came
     count_at: float         # when the counter may be called next
     seen: float = 0.0
+    came: float = 0.0       # when it was first seen
     total: float | None = None
     asks: bool = False      # whether each of its tries asks the counter for its store
     left: float = inf       # units in that store after the last answer
@@ -92,7 +89,7 @@
     alls: float = 0.0       # asked everywhere, fading
     calling: float | None = None    # told by the call that is out, if one is
     spans: float = 0.0      # s that these were asked in, fading alike
-    ceiling: float = 0.0    # units under the ceiling
+    ceiling: float = 0.0    # units of this ingress's own part of what the ceiling leaves above the quota
     open: int = 0           # attempts out
     waits: dict[float, float] = field(default_factory=dict)     # units waiting, by worth; none that are 0
     sent: float = 0.0       # units this period
@@ -122,6 +119,8 @@
     charged: bool = False           # its units were taken
     inside: bool | None = None      # the quota, by the answer of its own counter call
     told: bool = False              # the counter knows that it took its units
+    good_until: float = 0.0         # when that word is too old to stand for its part of the ceiling
+    drawn: float = 0.0              # units taken from that part here, until a backend had it
     ran_at: float | None = None     # send time of the first attempt that may have run
     ran_on: BackendEntry | None = None
     spent: bool = False             # its body is not held any more
@@ -151,7 +150,9 @@
 
     customer: Customer
     start: float            # of the epoch
+    at: float = 0.0         # when it was called
     t: Try | None = None    # the try that waits for it
-    own: float = 0.0        # of the amount, what is that try's own
+    own: float = 0.0        # of the total, what is that try's own
+    fix: float = 0.0        # of the amount, what puts the store right
     use: float = 0.0        # of the amount, what was taken before: told anew if it did not come through
     last: bool = False      # about the epoch before this one
--- a/fennelpoint/tally.py
+++ b/fennelpoint/tally.py
@@ -2,10 +2,12 @@
 
 The number holds what was taken since an epoch began, so that with the epoch's age it tells the store as
 all ingresses together have it: `burst + rate * age - total`.  A store holds its burst at most, so what ran
-over is added too, by whoever sees it.  An epoch ends before the counter forgets the name; each customer's
-have a phase of their own.  It rests on clocks that differ by less than a store takes to fill: all machines
-read one.
-"""
+over is added too.  An epoch ends before the counter forgets the name; each customer's have their own phase.
+It rests on clocks that differ by less than a store takes to fill: all machines read one.
+
+No try is let in by a store that is not right: whoever finds it new or too full adds what is missing, with
+the try's own units, and goes by the answer to that.  A name that was put right holds a base besides, so
+that one that is new, or was lost, is known as such whatever others have added meanwhile."""
 
 from __future__ import annotations
 
@@ -18,8 +20,9 @@
 GOLDEN = 0.6180339887498949
 OVER, DEEP = 0.25, 0.5      # of the burst: ran over and not yet told; below nothing, where no true store gets
 OVER_SLACK = 0.5            # of a ceiling's slack, that this may take at most
-OTHERS_FIX, DEEP_FIX = 0.1, 0.5  # how often one corrects what others may be correcting: too full; too deep
-NEW, MARK = 0.0002, 0.0005  # units that a new name holds before our own call, at most; left by a read
+BASE = 4.0                  # times what a store can give in an epoch: seven digits of a total are exact
+DEEP_FIX = 0.5              # how often one corrects what others may be correcting: too deep
+MARK = 0.0005               # units that a read leaves
 
 
 def name_of(key: int, now: float) -> tuple[int, float]:
@@ -29,24 +32,43 @@
     return key + SPACE * (1 + index % EPOCHS), index * EPOCH + phase
 
 
+def base_of(plan: Plan) -> float:
+    return BASE * (plan.burst + plan.rate * EPOCH)
+
+
+def known(plan: Plan, total: float) -> bool:
+    """Whether somebody has put the name right; else it is new or was lost."""
+    return total >= base_of(plan) / 2
+
+
+def level_of(plan: Plan, age: float, total: float) -> float:
+    """The store by a total; far over its burst while the name is new."""
+    return plan.burst + plan.rate * age + base_of(plan) - total
+
+
+def lacks(plan: Plan, age: float, total: float, fresh: float) -> float:
+    """What the counter is to be told before the store lets anything in; a new one is to hold `fresh`."""
+    level = level_of(plan, age, total)
+    if not known(plan, total):
+        return level - fresh
+    if level < -base_of(plan) / 2:  # put right twice, by one who did not hear of it
+        return level
+    spill = OVER * plan.burst
+    spill = min(spill, OVER_SLACK * plan.ceiling_slack) if plan.ceiling_rate else spill
+    return max(0.0, level - plan.burst) if level - plan.burst > spill else 0.0
+
+
+def twice(plan: Plan, age: float, total: float, told: float) -> bool:
+    """Whether others told the same, by a total without it; of a little nobody knows, and it stays."""
+    if told >= base_of(plan) / 2:
+        return known(plan, total)
+    if told <= -base_of(plan) / 2:
+        return level_of(plan, age, total) >= -base_of(plan) / 2
+    return told > plan.burst and level_of(plan, age, total) < plan.burst + told / 2
+
+
 def owed(plan: Plan, age: float, total: float) -> float:
-    """What a store is short of being full, by the last epoch's name; an epoch begins with a full one."""
-    return min(plan.burst, max(0.0, total - plan.rate * age)) if total > NEW else 0.0
-
-
-def level_of(plan: Plan, age: float, before: float, draw: float) -> tuple[float, float]:
-    """The store before a try, and what to add to the counter for what ran over.
-
-    `before` is the total without the try's own units, and `draw` random: guards against corrections of one
-    thing by several at once, as they can't see each other's.
-    """
-    level = plan.burst + plan.rate * age - before
-    if before <= NEW:       # the name is new or was lost: one call finds it so, as reads leave a mark
-        return plan.burst, level - plan.burst
-    if (over := level - plan.burst) > 0.0:
-        spill = OVER * plan.burst
-        spill = min(spill, OVER_SLACK * plan.ceiling_slack) if plan.ceiling_rate else spill
-        return plan.burst, over if over > spill and (over <= plan.burst or draw < OTHERS_FIX) else 0.0
-    # Guards against a customer kept out by corrections that met, or by use of a silence that is told late:
-    # what is beyond the quota takes nothing, so no store is ever below nothing.
-    return level, level if level < -DEEP * plan.burst and draw < DEEP_FIX else 0.0
+    """What a store is short of being full, by the last epoch's name; all of it where that is not known."""
+    if not known(plan, total):
+        return plan.burst if plan.ceiling_rate else 0.0
+    return min(plan.burst, max(0.0, plan.burst - level_of(plan, age, total)))
--- a/fennelpoint/upkeep.py
+++ b/fennelpoint/upkeep.py
@@ -1,7 +1,6 @@
 """Bookkeeping that decides nothing: timers, the waiting line, the fleet as the roster tells it.
 
-`control.py` says what is due, what waits and what is sent; these classes only keep the records straight.
-"""
+`control.py` says what is due, what waits and what is sent; these classes only keep the records straight."""
 
 from __future__ import annotations
 
@@ -137,25 +136,19 @@
         return ages
 
 
-class Sums:
-    """The sums of a running least-squares fit, in which the past fades."""
-
-    def __init__(self) -> None:
-        self.n = self.x = self.y = self.xx = self.xy = self.yy = 0.0
-
-    def add(self, x: float, y: float, memory: float) -> None:
-        """One more point; `memory` is the weight of those before."""
-        for name, value in (("n", 1.0), ("x", x), ("y", y), ("xx", x * x), ("xy", x * y), ("yy", y * y)):
-            setattr(self, name, getattr(self, name) * memory + value)
+def part(c: Customer, plan: api.Plan) -> tuple[float, float]:
+    """An ingress's own part of a ceiling, burst and rate: of what the counter's word does not stand for."""
+    rest, rate = plan.ceiling_burst - plan.burst * c.held, plan.ceiling_rate - plan.rate * c.held
+    return max(0.0, rest) / c.width, max(0.0, rate) / c.width
 
 
 def fill(c: Customer, plan: api.Plan, depth: float, cap_depth: float, now: float) -> None:
     """Bring a customer's buckets up to now: its slice, its part of the ceiling, its cut."""
     span, c.filled = now - c.filled, now
     c.level = min(max(depth, c.level), c.level + plan.rate * c.share * span)
-    if plan.ceiling_rate:   # what the counter lets in is under the quota; the rest is for the others
-        rest, rate = plan.ceiling_burst - plan.burst * c.held, plan.ceiling_rate - plan.rate * c.held
-        c.ceiling = min(max(0.0, rest) / c.width, c.ceiling + max(0.0, rate) / c.width * span)
+    if plan.ceiling_rate:
+        depth, rate = part(c, plan)
+        c.ceiling = min(depth, c.ceiling + rate * span)
     if c.cap is not None:
         c.cap_level = min(cap_depth, c.cap_level + c.cap * span)
 
@@ -168,9 +161,7 @@
 def new_total(c: Customer, total: float, added: float, now: float) -> tuple[float, float | None, float]:
     """What was taken here and everywhere since the last total, and how long ago that was.
 
-    Everywhere it is not known where there is no last total to compare with: at the first one, or when the
-    counter has lost its count.
-    """
+    Everywhere it is not known at the first total, or when the counter has lost its count."""
     span, before = now - c.total_at, c.total
     own, c.own, c.total, c.total_at = c.own - c.fresh, c.fresh, total, now
     compares = span > 0.0 and before is not None and total - before >= added - 0.01
@@ -181,11 +172,8 @@
     """The store of all ingresses at a total: `used` units in the `span` s since the one before.
 
     Usually filled first, then used, as far as a unit beyond the quota costs as much as one that is served
-    earns: guards against counting what a full store let run over while it was idle.
-
-    After a silence of the counter that would take the use of all of it off a store that was full at most,
-    and never come back where about the quota is asked for.  So use then takes from what came in meanwhile.
-    """
+    earns: guards against counting what a full store let run over while it was idle.  After a silence of the
+    counter use takes from what came in meanwhile: all of it off a store that was full would not come back."""
     filled = store + plan.rate * span
     used_first, dear = min(plan.burst, filled - used), 0.0 if silent else min(1.0, plan.over_cost)
     return used_first + dear * (min(plan.burst, filled) - used - used_first)
