Ceilings: what a store begun empty is short of comes from the own parts

Change: each ingress gives up to its even part of a burst, once for a customer it sees anew, by its own part of the ceiling.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -126,7 +126,7 @@
             width = self.settings.ingresses * self.parts
         if (c := self.customers.pop(ask.customer, None)) is None:
             c = Customer(ask.customer, ask.plan, 0.0, 1.0 / width, max(plan.burst / width, ask.units),
-                         store=plan.burst, filled=now, total_at=now, came=now,
+                         store=plan.burst, filled=now, total_at=now, grace=plan.burst / width,
                          count_at=now + self.random.uniform(0.3, 1.0) * COUNT_PERIOD)
             # Nothing was sent for it from here since this process began, or since it was forgotten.
             self._part(c, width)
@@ -334,10 +334,10 @@
                 return True
             self._tell(c, 0.0, now, last=True)
         t.inside = t.told = waits and not fix and level >= units
-        # Where nobody can tell: a store that was begun empty, or is below nothing, stands for no refusal.
-        young = now - c.came < plan.burst / plan.rate or level < -DEEP * plan.burst
-        if fix or plan.ceiling_rate and young and not t.inside:
-            t.inside = None
+        if plan.ceiling_rate and waits and not t.told and c.grace >= units:     # by our part of the ceiling
+            t.inside, c.grace = True, c.grace - units
+        elif fix or plan.ceiling_rate and level < -DEEP * plan.burst:
+            t.inside = None     # nobody can tell
         took = units * t.told
         if abs(change := took - ask.own - back) > 2.0 * MARK:
             self._tell(c, change, now, use=took - ask.own)
