--- a/fennelpoint/standins/ceilings.py
+++ b/fennelpoint/standins/ceilings.py
@@ -112,6 +112,7 @@
         if not quiet and draw.random() < 0.5:   # all find their names new at once, and few hear of it
             kind = draw.choice(("crowded", "lossy", "late"))
             faults.append(Fault(self.start, kind, draw.uniform(0.5, 3.0)))
+        self.kinds = tuple(fault.kind for fault in faults)
         for fault in faults:
             self._push(fault.at, self._strike, fault)
         for flow in self.flows:
--- a/fennelpoint/standins/servers.py
+++ b/fennelpoint/standins/servers.py
@@ -22,12 +22,14 @@
     """A listening socket whose `handle` is a coroutine over one connection; it counts them."""
 
     def __init__(self, handle: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable]) -> None:
-        self.handle, self.opened, self.writers = handle, 0, []
+        self.handle, self.opened, self.writers, self.address = handle, 0, [], ""
 
     async def start(self) -> str:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
+        """Its address; several ingresses may share it."""
+        if not self.address:
+            self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+            host, port = self.server.sockets[0].getsockname()
+            self.address = f"{host}:{port}"
         return self.address
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
