--- a/fennelpoint/cells/service.py
+++ b/fennelpoint/cells/service.py
@@ -7,6 +7,7 @@
 
 from fennelpoint import interface as api
 from fennelpoint.cells.assign import Assignment, Node
+from fennelpoint.cells.moves import Moves
 from fennelpoint.cells.plan import Plan, check_change, read_plan
 from fennelpoint.cells.poison import Poison
 from fennelpoint.faults import FaultyFile
@@ -21,20 +22,22 @@
         self.assignment = Assignment(plan)
         self.nodes: dict[str, Node] = {}
         self.told: dict[str, frozenset[str]] = {}
-        self.poison = Poison()
+        self.poison, self.moves = Poison(), Moves()
 
     def cell_of(self, customer: int) -> str:
         jail = self.assignment.plan.quarantine
         if jail and self.poison.apart(customer, time.monotonic()):
             return jail
-        return self.assignment.cell_of(customer)
+        return self.moves.cell_of(customer, self.assignment.cell_of(customer))
 
     def sent(self, customer: int, node: str) -> None:
+        self.moves.sent(customer, node)
         if self.assignment.plan.quarantine:
             self.poison.sent(customer, node, time.monotonic())
 
     def ended(self, customer: int, node: str, status: api.Status) -> None:
         """An attempt's end: a node that dies of it shows by a break, and by connects that fail."""
+        self.moves.ended(customer, node)
         if self.assignment.plan.quarantine:
             self._accuse(self.poison.ended(customer, node, status is api.Status.RESET,
                                            status is api.Status.CONNECT_FAILED, time.monotonic()))
@@ -62,7 +65,9 @@
         if self.assignment.plan.quarantine:
             for node in before - set(self.nodes):
                 self._accuse(self.poison.gone(node, time.monotonic()))
-        self._tell({})
+        if begun := self.moves.follow(self.assignment.members(self.nodes.values())):
+            log.info("nodes came: %d planned moves begin (%s)", len(begun), self.moves.said())
+        self._tell(begun, anew=bool(begun))
 
     def _tell(self, moved: dict[int, str], anew: bool = False) -> None:
         members = self.assignment.members(self.nodes.values())
@@ -84,7 +89,11 @@
             return
         before, self.assignment = self.assignment, Assignment(plan)
         # Those that neither plan names, too, where they asked lately: what waits of them goes along.
-        customers = before.listed.keys() | self.assignment.listed.keys() | before.found.keys()
-        moved = {c: cell for c in customers if (cell := self.assignment.cell_of(c)) != before.cell_of(c)}
-        log.info("the cells go by version %d: %d agencies moved", plan.version, len(moved))
-        self._tell(moved, anew=True)
+        customers = (before.listed.keys() | self.assignment.listed.keys() | before.found.keys()
+                     | self.moves.open.keys())
+        changes = {c: (old, new) for c in customers
+                   if (old := before.cell_of(c)) != (new := self.assignment.cell_of(c))}
+        now = self.moves.want(changes, plan.version, self.assignment.members(self.nodes.values()))
+        log.info("the cells go by version %d: %d agencies moved (%s)", plan.version, len(now),
+                 self.moves.said())
+        self._tell(now, anew=True)
--- a/tests/cells/test_cells_serving.py
+++ b/tests/cells/test_cells_serving.py
@@ -167,6 +167,29 @@
     run(play())
 
 
+def test_a_move_to_a_cell_without_nodes_waits_for_one_while_its_agency_is_served(tmp_path):
+    """The west's nodes are listed after the plan that moves an agency there."""
+    async def play() -> None:
+        nodes = backends()
+        async with world(*nodes, operator=operator(tmp_path), contracts=PLENTY) as made:
+            west = [m for m in made.list.members if m["id"] in ("s-2", "s-3")]
+            made.list.tell(*({**m, "phase": "removed"} for m in west))
+            cells = made.ingress.host.cells
+            await until(lambda: len(cells.nodes) == 2)
+            operator(tmp_path, version=2, east=())
+            made.ingress.reload()
+            assert cells.cell_of(EAST) == "east" and cells.moves.said() == "1 planned"
+            for _ in range(4):
+                assert (await ask(made, of(EAST)))[0].endswith("200 OK")
+            assert not whom(nodes[2:])[0] | whom(nodes[2:])[1]
+            made.list.tell(*west)
+            await until(lambda: cells.cell_of(EAST) == "west")
+            assert (await ask(made, of(EAST)))[0].endswith("200 OK")
+            assert whom(nodes[2:])[0] | whom(nodes[2:])[1] == {"11"} and cells.moves.said() == "1 moved"
+
+    run(play())
+
+
 def test_a_waiting_request_goes_along_and_is_answered_once(tmp_path):
     async def play() -> None:
         nodes = backends()
