--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -262,7 +262,9 @@
         elif self.asking >= 1.0 or self.random.random() < part:
             own = units if c.odds >= EVEN else tally.MARK   # likely short: it only reads at first
             use, c.untold = self._untold(c, now), 0.0
-            return self._ask(t, own + use, now, own=own, use=use)
+            self._tell(c, own + use, now, t=t, own=own, use=use)
+            t.not_before = t.good_until = now + 2 * self.settings.counter_timeout   # no answer may come
+            return self._hold(t, now)
         else:  # unasked: by what the others were told
             odds = min(c.odds, self.odds[t.ask.plan][t.ask.cls])
             t.inside = None if odds >= (1.0 - odds) * plan.over_cost else False
@@ -275,12 +277,6 @@
         c.untold_at = now
         return c.untold
 
-    def _ask(self, t: Try, amount: float, now: float, **values: float) -> None:
-        """Tell the counter and let the try wait for its answer, but not longer than one may take."""
-        self._tell(t.customer, amount, now, t=t, **values)
-        t.not_before = t.good_until = now + 2 * self.settings.counter_timeout
-        self._hold(t, now)
-
     def _tell(self, c: Customer, amount: float, now: float, last: bool = False, **values: object) -> None:
         name, start = tally.name_of(c.key, now - tally.EPOCH * last)
         self.asks.setdefault(name, deque()).append(Ask(c, start, now, last=last, **values))
@@ -318,20 +314,24 @@
         """Let a try in if its customer's store holds it; `total` is without what this call told."""
         c, t, units, age = ask.customer, ask.t, ask.t.ask.units, now - ask.start
         waits = t.ask.request in self.line.held     # else its client left
-        found = not tally.known(plan, age, total)
-        back = ask.fix if ask.fix and tally.twice(plan, age, total, ask.fix) else 0.0
-        total += ask.fix - back
+        found, back = False, 0.0
+        if ask.fix:
+            found = not tally.known(plan, age, total)
+            back = ask.fix * tally.twice(plan, age, total, ask.fix)
+            total += ask.fix - back
         lost = c.left_at >= ask.start   # if it is new: it goes by what it told here
         fresh = min(plan.burst, c.left + plan.rate * (now - c.left_at) if lost else plan.burst)
-        fix, level = tally.lacks(plan, age, total, fresh), tally.level_of(plan, age, total)
+        fix, level = tally.lacks(plan, age, total, fresh)
         if waits and (fix or ask.own < units <= level) and not ask.fix:     # guards reads that met, too
-            self._ask(t, fix + units - ask.own, now, own=units, fix=fix)
+            t.not_before = t.good_until = now + 2 * self.settings.counter_timeout
+            self._tell(c, fix + units - ask.own, now, t=t, own=units, fix=fix)
             return True
-        if ask.fix and found and not back and not lost:     # guards against a burst more at each epoch's turn
+        if found and not back and not lost:     # guards against a burst more at each epoch's turn
             self._tell(c, 0.0, now, last=True)
         t.inside = t.told = waits and not fix and level >= units
         # Guards the ceiling against counts that were lost: what is not proven comes from our own part.
-        t.good_until *= level - tally.unproven(plan, age, total) >= units
+        if plan.ceiling_rate and level - tally.unproven(plan, age, total) < units:
+            t.good_until = 0.0
         if fix or plan.ceiling_rate and level < -tally.DEEP * plan.burst:
             t.inside = None     # nobody can tell
         took = units * t.told
--- a/tests/test_ceilings.py
+++ b/tests/test_ceilings.py
@@ -82,7 +82,7 @@
 
 def test_checker_sees_stores_that_are_never_put_right(monkeypatch):
     """The cause that was found, in its plainest form: what ran over is let in by."""
-    monkeypatch.setattr(tally, "lacks", lambda plan, age, total, fresh: 0.0)
+    monkeypatch.setattr(tally, "lacks", lambda plan, age, total, fresh: (0.0, plan.burst))
     (rule,) = flood(0, 23.0).play().exact.values()
     assert rule.nearness > 1.5
 
