--- a/fennelpoint/cells/service.py
+++ b/fennelpoint/cells/service.py
@@ -65,7 +65,8 @@
         if self.assignment.plan.quarantine:
             for node in before - set(self.nodes):
                 self._accuse(self.poison.gone(node, time.monotonic()))
-        if begun := self.moves.follow(self.assignment.members(self.nodes.values())):
+        members = self.assignment.members(self.nodes.values()) if self.moves.open else {}
+        if begun := self.moves.follow(members):
             log.info("nodes came: %d planned moves begin (%s)", len(begun), self.moves.said())
         self._tell(begun, anew=bool(begun))
 
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -42,6 +42,20 @@
     run(play())
 
 
+def test_the_announcer_beside_it_hears_the_same_of_every_phase():
+    """What the ingress tells it goes by the one life-cycle, too."""
+    async def play() -> None:
+        async with world(Backend(), door=True) as made:
+            told = [made.ingress._word()[0]]
+            for line in (b"drain", b"resume", b"drain"):
+                await call(made, line)
+                told.append(made.ingress._word()[0])
+            await until(lambda: made.ingress.life.phase is Phase.DRAINED)
+            assert told == ["up", "draining", "up", "draining"] and made.ingress._word()[0] == "draining"
+
+    run(play())
+
+
 def test_ready_is_no_before_there_is_a_list():
     async def play() -> None:
         async with world(Backend(), door=True) as made:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -127,6 +127,16 @@
     assert new.look(set(), set(), set(), True, 5.1) == [Share(1), Serve()]
 
 
+def test_a_new_process_that_never_gets_ready_never_serves_and_leaves_the_old_one_its_half():
+    old, new = Succession(1, set(), 0.0), Succession(2, {1}, 5.0)
+    old.look(set(), set(), set(), True, 0.0)
+    assert old.look({2}, set(), set(), True, 5.1) == [Give(2, 2), Share(2)]
+    steps = [step for at in (5.0, 5.2, 5.0 + WAIT, 30.0) for step in new.look({1}, {1}, set(), False, at)]
+    assert steps == [Share(2), Take(1)] and not new.serving and old.serving
+    assert old.look({2}, set(), set(), True, 30.0) == []
+    assert old.look(set(), set(), set(), True, 31.0) == [Share(1)]      # it is ended: the whole again
+
+
 def test_an_old_process_whose_successor_dies_has_the_whole_share_and_tells_the_next_one():
     old = Succession(1, set(), 0.0)
     old.look(set(), set(), set(), True, 0.0)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -64,7 +64,7 @@
             if b"is ready" in line:
                 break
         host, port = value["listen"].split(":")
-        with socket.create_connection((host, int(port)), timeout=10) as client:
+        with socket.create_connection((host, port), timeout=10) as client:
             client.sendall(b"GET /ready HTTP/1.1\r\nHost: app.svc\r\n\r\n")
             assert client.recv(4096).startswith(b"HTTP/1.1 200 OK")
             process.send_signal(signal.SIGHUP)
@@ -95,28 +95,33 @@
     return False
 
 
-def test_program_survives_running_out_of_descriptors(tmp_path):
-    """A crowd of connections must not take along those that come once it has left."""
-    value = config(limits={"sockets": 64})
-    path = tmp_path / "config.json"
+def with_descriptors(most: int, path: Path, told: int) -> tuple[subprocess.Popen, str, int]:
+    """The program with so many descriptors, once it is ready; `told` is what its limits say."""
+    value = config(limits={"sockets": told})
     path.write_text(json.dumps(value))
     process = subprocess.Popen(
         [sys.executable, "-m", "fennelpoint"], cwd=ROOT, stderr=subprocess.PIPE,
         env={**os.environ, "BALANCER_CONFIG": str(path)},
-        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)))
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (most, most)))
+    for line in process.stderr:
+        if b"is ready" in line:
+            break
     host, port = value["listen"].split(":")
+    return process, host, int(port)
+
+
+def test_program_survives_running_out_of_descriptors(tmp_path):
+    """A crowd of connections must not take along those that come once it has left."""
+    process, host, port = with_descriptors(64, tmp_path / "config.json", told=64)
     crowd = []
     try:
-        for line in process.stderr:
-            if b"is ready" in line:
-                break
         for _ in range(150):
-            client = socket.create_connection((host, int(port)), timeout=10)
+            client = socket.create_connection((host, port), timeout=10)
             client.sendall(b"GET /api HTTP/1.1\r\nX-Txn: ")  # begun, so not idle: none may be closed for it
             crowd.append(client)
         for client in crowd:
             client.close()
-        assert ready_again(host, int(port)) and process.poll() is None
+        assert ready_again(host, port) and process.poll() is None
     finally:
         process.kill()
         process.communicate()
@@ -144,21 +149,12 @@
 
 def test_accepting_does_not_spin_while_there_is_no_descriptor_left(tmp_path):
     """The kernel goes on telling of connections that can't be accepted; the loop must not just ask again."""
-    value = config(limits={"sockets": 4096})    # it believes that it has them, so it closes nobody for room
-    path = tmp_path / "config.json"
-    path.write_text(json.dumps(value))
-    process = subprocess.Popen(
-        [sys.executable, "-m", "fennelpoint"], cwd=ROOT, stderr=subprocess.PIPE,
-        env={**os.environ, "BALANCER_CONFIG": str(path)},
-        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (48, 48)))
-    host, port = value["listen"].split(":")
+    # It believes that it has more, so it closes nobody for room.
+    process, host, port = with_descriptors(48, tmp_path / "config.json", told=4096)
     crowd = []
     try:
-        for line in process.stderr:
-            if b"is ready" in line:
-                break
         for _ in range(120):
-            crowd.append(socket.create_connection((host, int(port)), timeout=10))
+            crowd.append(socket.create_connection((host, port), timeout=10))
 
         def cpu() -> float:
             fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
@@ -169,7 +165,7 @@
         assert cpu() - began < 0.45 and process.poll() is None
         for client in crowd:
             client.close()
-        assert ready_again(host, int(port)) and process.poll() is None
+        assert ready_again(host, port) and process.poll() is None
     finally:
         process.kill()
         process.communicate()
