--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -20,14 +20,14 @@
 from fennelpoint.bodies import Budget, budget_of
 from fennelpoint.descriptors import LEAST, plan
 from fennelpoint.faults import FaultyFile
-from fennelpoint.handover import tell, tell_rest
 from fennelpoint.lifecycle import Event, LifeCycle, Step
 from fennelpoint.net.backends import Backends
 from fennelpoint.net.counter import Counter
 from fennelpoint.net.discovery import Address, Discovery, Listing, parse_address, parse_list
 from fennelpoint.net.host import Host
-from fennelpoint.net.notice import log
-from fennelpoint.net.server import Reader, Server
+from fennelpoint.net.server import Server
+from fennelpoint.notice import log
+from fennelpoint.parts import make_parts
 from fennelpoint.settings import from_json
 
 if TYPE_CHECKING:   # loaded only where there is an operator file
@@ -40,7 +40,6 @@
 LOOK = 0.05             # s between looks at what a drain or an end has left to do
 SOCKETS, MEMORY_MB = 1024, 192  # descriptors and memory, where the configuration tells no limit
 GC_THRESHOLDS = (10_000, 20, 50)  # nearly all is freed by count: cycles are looked for more rarely
-TURN = 0.05             # s between looks at a predecessor, until we serve; then each sweep
 
 
 class ConfigError(Exception):
@@ -157,123 +156,35 @@
         self.counter = Counter(loop, *config.counter, settings.counter_timeout) if (
             config.counter is not None and settings.has_counter) else None
         self.host = Host(loop, settings, config.seed, self.backends, self.counter, self.budget)
-        self.host.cells = self._cells()
         self.discovery = Discovery(loop, config.discovery, settings, self.follow)
         self.listed = False     # there is a list to go by
         self.coming: Discovery | None = None    # a new discovery that has not told its list yet
-        self.follower = None    # of a description, where the operator file names one
         self.life, self.looking = LifeCycle(time.monotonic()), False
-        self.server = Server(loop, self.host, room, self.life, self._reader())
-        self.beat, self.door, self.relay = self._beat(), self._door(), self._relay()
-        self.turn = None    # this process's part among those of its ingress
+        self.server = Server(loop, self.host, room, self.life)
+        self.parts = make_parts(self)   # those that are on, by name
+        self.host.watchers = [part.follow for part in self.parts.values()]
 
-    def _beat(self):
-        """The word to the announcer, where the operator file has one; its part is loaded only then."""
-        if self.config.operator is None or (announce := self.config.operator.announce) is None:
-            return None
-        from fennelpoint.net.beat import Beat
-
-        return Beat(self.loop, parse_address(announce.beat_listen, "beat_listen"), self._word)
-
-    def _word(self) -> tuple[str, bool]:
+    def word(self) -> tuple[str, bool]:
         """How it stands, and whether the counter that quotas are kept by is heard."""
         state = "up" if self.life.ready else "starting" if self.life.keeps else "draining"
         return state, self.counter is None or self.counter.answers
 
-    def _cells(self):
-        """The cells, where the operator file names a plan; their part is loaded only then."""
-        if self.config.cells is None:
-            return None
-        from fennelpoint.cells.service import CellsService
-
-        return CellsService(self.config.operator.cells.plan, self.config.cells, self.config.settings.zones,
-                            self.host.post)
-
-    def _door(self):
-        """The operators' door, where there is one; its part is loaded only then."""
-        if self.config.door is None:
-            return None
-        from fennelpoint.net.door import Door
-
-        callers = plan(self.config.sockets).callers
-        return Door(self.loop, self.life, self.config.name, callers, self.look, self._stand)
-
-    def _relay(self):
-        """The other processes of this ingress, where the platform holds its socket; loaded only then."""
-        if self.config.inherited is None or not self.config.folder:
-            return None
-        from fennelpoint.net.relay import Relay
-
-        try:
-            return Relay(self.config.folder, self.config.name, "{}:{}".format(*self.config.listen))
-        except OSError as error:
-            return log.error("%s has no word for other processes: %s: %s", self.config.name, error.filename,
-                             error.strerror)
-
-    def _stand(self) -> str:
-        return f": {len(self.server.connections)} connections, {self.host.waiting} requests open"
-
-    def _reader(self) -> Reader | None:
-        """Reads requests by the description, where there is one; its part is loaded only then."""
-        if self.config.operator is None or (routes := self.config.operator.routes) is None:
-            return None
-        from fennelpoint.net.routed import RoutedReader
-        from fennelpoint.routes.follower import Follower
-
-        reader = RoutedReader(self.config.settings, self.config.read.table())
-        self.follower = Follower(self.loop, reader, self.config.settings, routes, self.config.read.files)
-        self.config.read = None     # its bytes are of no more use
-        return reader
-
     async def start(self) -> None:
         if (known := self.config.known) is not None:
             known.roster.kind = api.RosterKind.CACHED
             self.discovery.take(known)
-        if self.relay is None:
+        if not self.held_back:
             await self.server.listen(self.config.inherited or self.config.listen)
-        if self.door is not None:
-            await self.door.listen(self.config.door)
+        for part in self.parts.values():
+            await part.start()
         self.discovery.start()
-        if self.follower is not None:
-            self.follower.start()
-        if self.beat is not None:
-            self.beat.start()
         self.loop.call_later(0.0 if self.discovery.late else LIST_WAIT, self._go_by_known)
         self.loop.call_later(SWEEP, self._sweep)
-        if self.relay is not None:
-            from fennelpoint.succession import Succession
-
-            self.turn = Succession(self.relay.generation, self.relay.living(), time.monotonic())
-            log.info("%s is generation %d", self.config.name, self.relay.generation)
-            self._turn()
-
-    def _turn(self) -> None:
-        """What is due among the processes of this ingress."""
-        from fennelpoint.succession import Give, Serve, Share, Take
-
-        turn, relay, before = self.turn, self.relay, {self.turn.predecessor} - {None}
-        steps = turn.look(relay.living(), {g for g in before if relay.has(g, False)},
-                          {g for g in before if relay.has(g, True)}, self.listed, time.monotonic())
-        for step in steps:
-            if isinstance(step, Share):
-                room = plan(self.config.sockets, step.parts)
-                self.server.room, self.backends.most = room, room.upstream
-                self.host.post(api.Twins(step.parts))
-            elif isinstance(step, Give):
-                relay.write(step.generation, tell(self.host.controller, step.parts))
-                log.info("%s told generation %d", self.config.name, step.generation)
-            elif isinstance(step, Take):
-                if (state := relay.read(step.generation, step.last)) is not None:
-                    self.host.post(api.Told(state))
-            elif isinstance(step, Serve):
-                task = self.loop.create_task(self.server.listen(self.config.inherited))
-                task.add_done_callback(lambda task: self._serve())
-        if not turn.serving:
-            self.loop.call_later(TURN, self._turn)
-
-    def _serve(self) -> None:
-        self.relay.serves()
-        self._set_ready()
+
+    @property
+    def held_back(self) -> bool:
+        """Whether a part has yet to say that clients may come."""
+        return any(part.holds for part in self.parts.values())
 
     def follow(self, roster: api.Roster, addresses: dict[str, Address]) -> None:
         self.host.follow(roster, addresses)
@@ -287,9 +198,8 @@
         """
         if self.life.ending:
             return
-        self._reload_routes()
-        if self.host.cells is not None:
-            self.host.cells.reload()
+        for part in self.parts.values():
+            part.reload()
         try:
             config = read_config(self.path)
         except ConfigError as error:
@@ -307,20 +217,6 @@
             self.coming.known = self.discovery.known
             self.coming.start()
 
-    def _reload_routes(self) -> None:
-        """Read the description anew; turning it on or off takes a restart."""
-        if self.follower is None:
-            return
-        from fennelpoint.operator import read_operator
-
-        try:
-            routes = read_operator(self.operator_path).routes if self.operator_path else (
-                self.config.operator.routes)
-        except FaultyFile as error:
-            return log.error("%s keeps its operator file: %s", self.config.name, error.faults[0])
-        if routes is not None:
-            self.follower.reload(routes)
-
     def _go_over(self, roster: api.Roster, addresses: dict[str, Address]) -> None:
         """The first list of a new discovery: from now on it is the one to go by."""
         self.discovery.stop()
@@ -330,11 +226,11 @@
 
     def _go_by_list(self) -> None:
         self.listed = True
-        if self.relay is None:      # else there is more to wait for
-            self._set_ready()
+        self.set_ready()
 
-    def _set_ready(self) -> None:
-        if not self.life.listed:
+    def set_ready(self) -> None:
+        """There is a list, and no part has more to wait for."""
+        if self.listed and not self.life.listed and not self.held_back:
             self.life.handle(Event.LISTED, time.monotonic())
             log.info("%s is ready", self.config.name)
 
@@ -347,8 +243,8 @@
         self.loop.call_later(SWEEP, self._sweep)
         self.server.sweep()
         self.backends.sweep()
-        if self.turn is not None and self.turn.serving:
-            self._turn()
+        for part in self.parts.values():
+            part.sweep()
         if self.counter is not None:
             self.counter.sweep()
 
@@ -357,8 +253,7 @@
         if self.life.ending:
             return
         log.info("%s stops", self.config.name)
-        relieved = self.turn is not None and (
-            newer := self.turn.successor) is not None and self.relay.one_serves(newer)
+        relieved = any(part.relieved for part in self.parts.values())
         self.life.handle(Event.RELIEVED if relieved else Event.TERM, time.monotonic())
         self.look()
 
@@ -383,8 +278,8 @@
             self.loop.call_later(LOOK, self._look)
 
     def _end(self) -> None:
-        if self.turn is not None and self.turn.successor is not None:
-            self.relay.write(self.turn.successor, tell_rest(self.host.controller), last=True)
+        for part in self.parts.values():
+            part.finish()
         if not self.stopped.done():
             self.stopped.set_result(None)
 
@@ -393,11 +288,8 @@
         for discovery in (self.discovery, self.coming):
             if discovery is not None:
                 discovery.stop()
-        if self.follower is not None:
-            self.follower.close()
-        for part in (self.beat, self.door, self.relay):
-            if part is not None:
-                part.close()
+        for part in self.parts.values():
+            part.close()
         self.server.close()
         self.backends.close()
         if self.counter is not None:
--- a/fennelpoint/bgp/service.py
+++ b/fennelpoint/bgp/service.py
@@ -21,7 +21,7 @@
 from fennelpoint.bgp.updates import Path, family
 from fennelpoint.faults import Fault, FaultyFile
 from fennelpoint.net.discovery import ListError, parse_address
-from fennelpoint.net.notice import complain, log
+from fennelpoint.notice import complain, log
 from fennelpoint.operator import Announce, BgpPeer, ServiceAddress, read_operator
 
 CHECK_EVERY, CHECK_TIMEOUT = 0.2, 0.5   # s between two self-checks; until one has failed
--- a/fennelpoint/cells/service.py
+++ b/fennelpoint/cells/service.py
@@ -11,10 +11,11 @@
 from fennelpoint.cells.plan import Plan, check_change, read_plan
 from fennelpoint.cells.poison import Poison
 from fennelpoint.faults import FaultyFile
-from fennelpoint.net.notice import log
+from fennelpoint.notice import log
+from fennelpoint.parts import Part
 
 
-class CellsService:
+class CellsService(Part):
     """Keeps the cells of one ingress.  `post` takes events for the module."""
 
     def __init__(self, path: str, plan: Plan, zones: list[str], post: Callable[[api.Event], None]) -> None:
--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -12,7 +12,6 @@
 from fennelpoint import interface as api
 from fennelpoint import tally
 from fennelpoint.choice import cold_odds, cold_share
-from fennelpoint.handover import share_out, take, take_health
 from fennelpoint.state import Ask, Backend, Crowd, Customer, Cut, Try
 from fennelpoint.upkeep import Fleet, Line, Timers, fill, forget, new_total, part, same_group, settled
 
@@ -103,8 +102,7 @@
                    api.ProbeResult: self._probed, api.TimerDue: self._timer, api.CounterReply: self._counted,
                    api.ClientGone: self._gone, api.StreamStarted: self._began, api.Arrived: self._arrived,
                    api.Spent: self._spent, api.Cells: self._cells,
-                   api.Twins: lambda e, now: share_out(self, e.parts),
-                   api.Told: self._told}
+                   api.Twins: self._twins}
 
     def start(self, now: float) -> list[api.Action]:
         return [api.Subscribe()] if self.settings.discovery == "ask" else []
@@ -492,9 +490,15 @@
         if (t := self.line.open.get(event.request)) is not None:
             t.spent = True
 
-    def _told(self, event: api.Told, now: float) -> None:
-        if bad := take(self, event.state, now):
-            self.out.append(api.Log(f"{bad} entries of what the process before told can't be used"))
+    def _twins(self, event: api.Twins, now: float) -> None:
+        """So many processes are this ingress from now on: each is to quotas what an ingress is."""
+        factor, self.parts = event.parts / self.parts, event.parts
+        for c in self.customers.values():
+            c.width, c.share = c.width * factor, min(1.0, c.share / factor)
+            if factor > 1.0:
+                c.level, c.ceiling = c.level / factor, c.ceiling / factor
+        for crowd in (self.crowd, *self.cells.values()):
+            crowd.window = max(1.0, crowd.window / factor) if crowd.window else 0.0
 
     def _arrived(self, event: api.Arrived, now: float) -> None:
         """A request that came slowly: its times count from its last byte, and a backend begins it there."""
@@ -563,7 +567,7 @@
         self.fleet.follow(roster, self.random, now)
         self._first_windows()
         for b in self.fleet.known.values() if self.health else ():
-            take_health(self, b, now)
+            b.recall(self.health.pop(b.entry.backend, None), now)
 
     def _first_windows(self) -> None:
         for crowd in (self.crowd, *self.cells.values()):
--- a/fennelpoint/handover.py
+++ b/fennelpoint/handover.py
@@ -1,18 +1,17 @@
 """What one process of an ingress tells the next, and two processes that are one ingress meanwhile.
 
-Stores are split, never copied: what is told is taken off here first, so a word that is lost loses room and
-passes no quota.  All figures are checked when they are taken in; one that makes no sense costs its entry."""
+Decides nothing about a try: it reads and fills what `state.py` holds.  Stores are split, never copied: what
+is told is taken off here first, so a word that is lost loses room and passes no quota.  All figures are
+checked when they are taken in; one that makes no sense costs its entry."""
 
 from __future__ import annotations
 
 from math import isfinite
-from typing import TYPE_CHECKING
 
+from fennelpoint import interface as api
+from fennelpoint.control import Controller
 from fennelpoint.record import entries, finite, same_shape
-from fennelpoint.state import Backend, Crowd, Customer
-
-if TYPE_CHECKING:
-    from fennelpoint.control import Controller
+from fennelpoint.state import Crowd, Customer
 
 MOST_TOLD = 8000    # customers, the last seen first
 COUNTED = ("total", "total_at", "ours", "alls", "spans", "store", "left", "left_at", "odds", "short_at",
@@ -23,18 +22,15 @@
 CROWD = {"window": (1.0, 1e5), "pressure": (0.0, 1.0)}
 OWN = {"usual_held": (0.0, 1e5), "usual_worth": (1e-3, 1e6),
        "asking": (0.1, 1.0), "answers": (-1000, 1000), "silent_at": (-1e12, 1e12), "retries": (0.0, 10.0)}
-MOST_SLOW, MOST_FAILS, MOST_REST = 10.0, 60, 5.0    # of a backend; s
 
 
-def share_out(control: Controller, parts: int) -> None:
-    """So many processes are this ingress from now on: each is to quotas what an ingress is."""
-    factor, control.parts = parts / control.parts, parts
-    for c in control.customers.values():
-        c.width, c.share = c.width * factor, min(1.0, c.share / factor)
-        if factor > 1.0:
-            c.level, c.ceiling = c.level / factor, c.ceiling / factor
-    for crowd in (control.crowd, *control.cells.values()):
-        crowd.window = max(1.0, crowd.window / factor) if crowd.window else 0.0
+def attach(control: Controller) -> None:
+    """Let a decision module take in what the process before tells (`api.Told`)."""
+    def told(event: api.Told, now: float) -> None:
+        if bad := take(control, event.state, now):
+            control.out.append(api.Log(f"{bad} entries of what the process before told can't be used"))
+
+    control.on[api.Told] = told
 
 
 def _crowds(control: Controller) -> dict[str, Crowd]:
@@ -44,7 +40,7 @@
 def tell(control: Controller, parts: int) -> dict:
     """For a process that is to be one of `parts`: all that is known, and its part of the stores.
 
-    Take the same part off here with `share_out` at once: told and kept, it would be there twice."""
+    Take the same part off here with `api.Twins` at once: told and kept, it would be there twice."""
     customers = []
     for c in list(reversed(control.customers.values()))[:MOST_TOLD]:
         known = {n: getattr(c, n) for n in COUNTED if getattr(c, n) is not None and isfinite(getattr(c, n))}
@@ -92,19 +88,10 @@
         control.health.update({key: values for key, values in health.items() if isinstance(values, list)
                                and len(values) == 1 + len(HEALTH) and finite(values)})
         for b in control.fleet.known.values():
-            take_health(control, b, now)
+            b.recall(control.health.pop(b.entry.backend, None), now)
     return bad
 
 
-def take_health(control: Controller, b: Backend, now: float) -> None:
-    """What the process before knew of a backend, if this is the same start of it."""
-    if (values := control.health.pop(b.entry.backend, None)) is not None and values[0] == b.entry.started_at:
-        slow, slow_at, fails, failed_at, rest_until = values[1:]
-        b.slow, b.slow_at = min(MOST_SLOW, max(1 / MOST_SLOW, slow)), min(now, slow_at)
-        b.fails, b.failed_at = int(min(MOST_FAILS, max(0, fails))), min(now, failed_at)
-        b.rest_until = min(now + MOST_REST, rest_until)
-
-
 def _take_customer(control: Controller, entry: object, now: float) -> bool:
     if not isinstance(entry, dict):
         return False
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -19,8 +19,8 @@
 
 from fennelpoint.bodies import COMMIT, MOST, STOPPED, WHOLE, Budget, Upload
 from fennelpoint.interface import BackendState, Roster, RosterKind, Status
-from fennelpoint.net.notice import complain
 from fennelpoint.net.paced import Paced
+from fennelpoint.notice import complain
 
 MOST_RECEIVED = 2 * WHOLE   # bytes of a whole answer with its head and framing
 NOBODYS = "is nobody's any more"
--- a/fennelpoint/net/beat.py
+++ b/fennelpoint/net/beat.py
@@ -10,11 +10,13 @@
 import os
 from collections.abc import Callable
 
+from fennelpoint.parts import Part
+
 EVERY = 0.2     # s between two beats
 AGAIN = 0.5     # s between two tries to reach the announcer
 
 
-class Beat(asyncio.Protocol):
+class Beat(Part, asyncio.Protocol):
     """One connection to the announcer, made anew when it ends."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int],
@@ -25,7 +27,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.closed = False
 
-    def start(self) -> None:
+    async def start(self) -> None:
         self._connect()
 
     def _connect(self) -> None:
--- a/fennelpoint/net/counter.py
+++ b/fennelpoint/net/counter.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 
 from fennelpoint.interface import CounterReply, Status
-from fennelpoint.net.notice import complain
+from fennelpoint.notice import complain
 
 CALL_TIMEOUT = 0.05     # s, where the settings tell none
 CONNECT_TIMEOUT = 0.25  # s
--- a/fennelpoint/net/door.py
+++ b/fennelpoint/net/door.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 
 from fennelpoint.lifecycle import Event, IllegalMove, LifeCycle
-from fennelpoint.net.notice import log
+from fennelpoint.notice import log
+from fennelpoint.parts import Part
 
 MOST_LINE = 128     # bytes
 PATIENCE = 4.5      # s for a caller to say its line
@@ -76,22 +77,22 @@
         self.door.callers.pop(self, None)
 
 
-class Door:
+class Door(Part):
     """The listener for the operators' calls."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, life: LifeCycle, name: str, most: int,
-                 moved: Callable[[], None], stand: Callable[[], str] = lambda: "") -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], life: LifeCycle, name: str,
+                 most: int, moved: Callable[[], None], stand: Callable[[], str] = lambda: "") -> None:
         """`most` callers at a time: the oldest makes room.
 
         `moved` is told after a call that changed the phase; `stand` gives figures for the answer.
         """
-        self.loop, self.life, self.name, self.most = loop, life, name, most
+        self.loop, self.address, self.life, self.name, self.most = loop, address, life, name, most
         self.moved, self.stand = moved, stand
         self.callers: dict[Caller, None] = {}   # the oldest first
         self.listener: asyncio.Server | None = None
 
-    async def listen(self, address: tuple[str, int]) -> None:
-        self.listener = await self.loop.create_server(lambda: Caller(self), *address, backlog=128,
+    async def start(self) -> None:
+        self.listener = await self.loop.create_server(lambda: Caller(self), *self.address, backlog=128,
                                                       reuse_address=True)
 
     def take(self, caller: Caller) -> None:
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -20,7 +20,7 @@
 from fennelpoint.net.backends import Answer, Backends, Exchange, load_report
 from fennelpoint.net.counter import Counter
 from fennelpoint.net.driver import Clock, Driver
-from fennelpoint.net.notice import complain, log
+from fennelpoint.notice import complain, log
 
 if TYPE_CHECKING:   # loaded only where the operator file names a plan
     from fennelpoint.cells.service import CellsService
@@ -98,6 +98,7 @@
         self.loop, self.settings, self.backends, self.budget = loop, settings, backends, budget
         self.clock = Clock()
         self.cells: CellsService | None = None  # where the operator file names a plan
+        self.watchers: list[Callable[[api.Roster], None]] = []  # hear of a list before the module does
         driver = Driver(loop, self.clock, counter, self.post)
         self.tickets: dict[int, Ticket] = {}
         self.open_ids: set[bytes] = set()   # of the tickets, as the clients named them
@@ -151,8 +152,8 @@
     def follow(self, roster: api.Roster, addresses: dict[str, tuple[str, int]]) -> None:
         """What discovery told: the sockets keep to it from now on, then the module hears of it."""
         self.backends.follow(roster, addresses)
-        if self.cells is not None:
-            self.cells.follow(roster)
+        for watch in self.watchers:
+            watch(roster)
         self.post(roster)
 
     def admit(self, client: Client, asked: Asked) -> int:
--- a/fennelpoint/net/relay.py
+++ b/fennelpoint/net/relay.py
@@ -12,7 +12,7 @@
 import time
 from pathlib import Path
 
-from fennelpoint.net.notice import log
+from fennelpoint.notice import log
 from fennelpoint.record import MOST, BadRecord, Record, decode, encode
 
 SERVES = b"serves\n"
--- a/fennelpoint/net/routed.py
+++ b/fennelpoint/net/routed.py
@@ -7,14 +7,23 @@
 from __future__ import annotations
 
 from functools import lru_cache
+from typing import TYPE_CHECKING
 
 from fennelpoint import interface as api
 from fennelpoint.bodies import Upload
+from fennelpoint.faults import FaultyFile
 from fennelpoint.net.host import Asked
 from fennelpoint.net.server import BadRequest, Reader, Reply, framing
+from fennelpoint.notice import log
+from fennelpoint.operator import Routes, read_operator
+from fennelpoint.parts import Part
+from fennelpoint.routes.follower import Follower
 from fennelpoint.routes.paths import PathError, split_target
 from fennelpoint.routes.table import RouteTable, ValueFault
 
+if TYPE_CHECKING:
+    from fennelpoint.__main__ import Ingress
+
 MOST_KEY = 256      # bytes of an idempotency key
 
 
@@ -81,3 +90,28 @@
         return Asked(found[b"x-txn"], route.cls, plan, customer, left, units, width, first,
                      found.get(b"x-resent") == b"1", not safe, b"\r\n".join(lines) + b"\r\n", body,
                      bare, upload)
+
+
+class RoutesPart(Part):
+    """Requests read by a description that is followed; turning it on or off takes a restart."""
+
+    def __init__(self, ingress: Ingress, routes: Routes) -> None:
+        config, self.ingress, self.routes = ingress.config, ingress, routes
+        reader = ingress.server.reader = RoutedReader(config.settings, config.read.table())
+        self.follower = Follower(ingress.loop, reader, config.settings, routes, config.read.files)
+        config.read = None      # its bytes are of no more use
+
+    async def start(self) -> None:
+        self.follower.start()
+
+    def reload(self) -> None:
+        path, name = self.ingress.operator_path, self.ingress.config.name
+        try:
+            routes = read_operator(path).routes if path else self.routes
+        except FaultyFile as error:
+            return log.error("%s keeps its operator file: %s", name, error.faults[0])
+        if routes is not None:
+            self.follower.reload(routes)
+
+    def close(self) -> None:
+        self.follower.close()
--- a/fennelpoint/routes/follower.py
+++ b/fennelpoint/routes/follower.py
@@ -8,7 +8,7 @@
 
 from fennelpoint import interface as api
 from fennelpoint.faults import Fault
-from fennelpoint.net.notice import log
+from fennelpoint.notice import log
 from fennelpoint.operator import Routes
 from fennelpoint.routes import worker
 from fennelpoint.routes.changes import Action, Changes, GiveUp, Load, Report, Take
--- a/fennelpoint/standins/ceilings.py
+++ b/fennelpoint/standins/ceilings.py
@@ -145,6 +145,7 @@
     def _begin(self, node: int) -> Controller:
         self.number += 1
         made = self.make(self.settings[node], self.seed * 1000 + self.number, self.now)
+        handover.attach(made)
         self.nodes[node].append(made)
         self._roster(node, made)
         return made
--- a/fennelpoint/standins/world.py
+++ b/fennelpoint/standins/world.py
@@ -64,7 +64,7 @@
         await self.ingress.start()
         self.address = self.ingress.server.listener.sockets[0].getsockname()
         if self.has_door:
-            self.door = self.ingress.door.listener.sockets[0].getsockname()
+            self.door = self.ingress.parts["door"].listener.sockets[0].getsockname()
         await until(lambda: self.ingress.life.ready)
 
     def stop(self) -> None:
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -8,6 +8,7 @@
 
 from fennelpoint.interface import BackendEntry, BackendState, Request
 
+MOST_SLOW, MOST_FAILS, MOST_REST = 10.0, 60, 5.0    # that is believed of a backend; s
 
 @dataclass(slots=True, eq=False)
 class Crowd:
@@ -52,6 +53,14 @@
         """Whether the roster lets us send to it."""
         return self.entry.state is BackendState.READY
 
+    def recall(self, told: list[float] | None, now: float) -> None:
+        """What the process before knew of it, if this is the same start of it."""
+        if told is not None and told[0] == self.entry.started_at:
+            slow, slow_at, fails, failed_at, rest_until = told[1:]
+            self.slow, self.slow_at = min(MOST_SLOW, max(1 / MOST_SLOW, slow)), min(now, slow_at)
+            self.fails, self.failed_at = int(min(MOST_FAILS, max(0, fails))), min(now, failed_at)
+            self.rest_until = min(now + MOST_REST, rest_until)
+
 
 @dataclass(slots=True, eq=False)
 class Customer:
--- a/fennelpoint/xds/quotas.py
+++ b/fennelpoint/xds/quotas.py
@@ -19,7 +19,7 @@
 from fennelpoint import interface as api
 from fennelpoint.net.counter import Counter
 from fennelpoint.net.driver import Clock, Driver
-from fennelpoint.net.notice import complain, log
+from fennelpoint.notice import complain, log
 from fennelpoint.operator import Control
 from fennelpoint.xds.budget import Budget
 from fennelpoint.xds.desk import Verdict
--- a/fennelpoint/xds/server.py
+++ b/fennelpoint/xds/server.py
@@ -25,7 +25,7 @@
 from fennelpoint import interface as api
 from fennelpoint.lifecycle import Event, LifeCycle
 from fennelpoint.net.discovery import Address, Discovery
-from fennelpoint.net.notice import complain, log
+from fennelpoint.notice import complain, log
 from fennelpoint.operator import Control
 from fennelpoint.routes.table import RouteTable
 from fennelpoint.xds.budget import Budget
--- a/fennelpoint/xds/service.py
+++ b/fennelpoint/xds/service.py
@@ -10,7 +10,7 @@
 
 from fennelpoint.__main__ import Config, ConfigError, read_config
 from fennelpoint.faults import Fault, FaultyFile
-from fennelpoint.net.notice import log
+from fennelpoint.notice import log
 from fennelpoint.operator import Control, read_operator
 from fennelpoint.routes.follower import Follower
 from fennelpoint.routes.worker import read_now
--- a/fennelpoint/xds/tls.py
+++ b/fennelpoint/xds/tls.py
@@ -7,7 +7,7 @@
 import grpc
 
 from fennelpoint.faults import Fault, FaultyFile
-from fennelpoint.net.notice import complain, log
+from fennelpoint.notice import complain, log
 from fennelpoint.operator import Control
 
 FILES = ("tls_certificate", "tls_key", "tls_client_ca")
--- a/tests/bgp/stalling.py
+++ b/tests/bgp/stalling.py
@@ -17,7 +17,7 @@
 async def main() -> None:
     loop = asyncio.get_running_loop()
     beat = Beat(loop, parse_address(sys.argv[1], "address"), lambda: ("up", True))
-    beat.start()
+    await beat.start()
     loop.add_reader(sys.stdin, spin)
     await asyncio.sleep(600)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import settings as hypothesis_profile
 
-from fennelpoint import Controller
+from fennelpoint import Controller, handover
 from fennelpoint import interface as api
 
 # The same verdict every time: examples are drawn from the test's own text, and none are kept.
@@ -52,6 +52,7 @@
 
     def __post_init__(self) -> None:
         self.control = Controller(self.settings, seed=7, now=self.now)
+        handover.attach(self.control)
         self.take(self.control.start(self.now))
 
     def take(self, actions: list) -> list:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -46,12 +46,12 @@
     """What the ingress tells it goes by the one life-cycle, too."""
     async def play() -> None:
         async with world(Backend(), door=True) as made:
-            told = [made.ingress._word()[0]]
+            told = [made.ingress.word()[0]]
             for line in (b"drain", b"resume", b"drain"):
                 await call(made, line)
-                told.append(made.ingress._word()[0])
+                told.append(made.ingress.word()[0])
             await until(lambda: made.ingress.life.phase is Phase.DRAINED)
-            assert told == ["up", "draining", "up", "draining"] and made.ingress._word()[0] == "draining"
+            assert told == ["up", "draining", "up", "draining"] and made.ingress.word()[0] == "draining"
 
     run(play())
 
@@ -98,15 +98,15 @@
             silent = [await asyncio.open_connection(*made.door) for _ in range(3 * MOST_CALLERS)]
             for _, writer in silent[::2]:
                 writer.write(b"dra")
-            await until(lambda: len(made.ingress.door.callers) <= MOST_CALLERS)
+            await until(lambda: len(made.ingress.parts["door"].callers) <= MOST_CALLERS)
             began = time.monotonic()
             assert (await call(made, b"ready")).startswith("ACK")
             assert time.monotonic() - began < 0.5
-            assert len(made.ingress.door.callers) <= MOST_CALLERS
+            assert len(made.ingress.parts["door"].callers) <= MOST_CALLERS
             assert made.ingress.life.phase is Phase.SERVING
             for _, writer in silent:
                 writer.close()
-            await until(lambda: not made.ingress.door.callers)
+            await until(lambda: not made.ingress.parts["door"].callers)
 
     run(play())
 
@@ -204,7 +204,7 @@
 def test_without_the_setting_there_is_no_door():
     async def play() -> None:
         async with world(Backend()) as made:
-            assert made.ingress.door is None
+            assert "door" not in made.ingress.parts
 
     run(play())
 
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -2,6 +2,7 @@
 
 import ast
 import re
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -53,3 +54,17 @@
     one, two = (Controller(make_settings(), seed=3, now=0.0) for _ in range(2))
     assert run(one) == run(two)
     assert run(Controller(make_settings(), seed=4, now=0.0)) != run(one)
+
+
+def test_nothing_imports_upward_or_in_a_ring():
+    """The module's files know nothing of the sockets, and no two of them import each other."""
+    package = Path(__file__).parent.parent / "fennelpoint"
+    asked = {path.relative_to(package).with_suffix("").as_posix().replace("/", "."):
+             set(re.findall(r"^from fennelpoint\.([\w.]+) import", path.read_text(), re.M))
+             for path in package.rglob("*.py")}
+    rings = [(a, b) for a, known in asked.items() for b in known if a in asked.get(b, ())]
+    assert not rings
+    policy = tomllib.loads((package.parent / "deploy/balancer.toml").read_text())["policy"]
+    pure = [name for name in asked if f"fennelpoint/{name}.py" in policy or name.startswith("cells.")]
+    assert len(pure) > 10
+    assert [(n, m) for n in pure for m in asked[n] if m.startswith("net.")] == []
