Fleet: record by keepers, versions, licences, audit and the process rig, in part

Need: each ingress reads its own files at its own SIGHUP; nobody can say what the fleet acts on, and a process that was stopped wakes and sends by what it knew.

Change: fennelpoint/fleet/: a register a key without log or leader (CASPaxos with lives, so that a keeper that lost its file has no vote until it has caught up), versions offered, closed and in force, licences from a keeper's majority read, passed on by peers, static where so many are cut off that they may not be out; the gate right before each send; spans of who acted on what.

--- a/fennelpoint/cells/service.py
+++ b/fennelpoint/cells/service.py
@@ -24,6 +24,7 @@
         self.nodes: dict[str, Node] = {}
         self.told: dict[str, frozenset[str]] = {}
         self.poison, self.moves = Poison(), Moves()
+        self.ruled = 0      # the fleet's version that holds the plan; 0: its file does
 
     def cell_of(self, customer: int) -> str:
         jail = self.assignment.plan.quarantine
@@ -82,11 +83,17 @@
 
     def reload(self) -> None:
         """SIGHUP: go over to the plan that the file holds now; one that can't be used changes nothing."""
+        if self.ruled:
+            return log.info("the cells stay as they are: the fleet's version %d has a plan", self.ruled)
         try:
             plan = read_plan(self.path)
             check_change(self.path, self.assignment.plan, plan)
         except FaultyFile as error:
             return log.error("the cells stay as they are: %s", error.faults[0])
+        self.take(plan)
+
+    def take(self, plan: Plan) -> None:
+        """Go over to a plan that was checked."""
         if plan == self.assignment.plan:
             return
         before, self.assignment = self.assignment, Assignment(plan)
--- a/fennelpoint/cli.py
+++ b/fennelpoint/cli.py
@@ -10,6 +10,7 @@
 
 import click
 
+from fennelpoint.cli_fleet import fleet
 from fennelpoint.faults import Fault, FaultyFile
 
 FAULTY = 2      # exit code of a check that found faults
@@ -60,6 +61,9 @@
     """An ingress that holds customers to their quotas before a shared back end."""
 
 
+main.add_command(fleet)
+
+
 @main.command()
 @click.argument("files", nargs=-1, required=True, type=FILE)
 @CONFIG
--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import replace
 from math import inf
 from random import Random
 
@@ -82,6 +83,7 @@
         self.settings, self.random, self.out = settings, Random(seed), []
         self.fleet, self.line, self.timers = Fleet(), Line(), Timers(settings.tick)
         self.customers: dict[int, Customer] = {}  # the longest unseen first
+        self.barred, self.mixed, self.stamp = False, False, 0   # nothing may go out; figures of two kinds
         self.parts, self.health = 1, {}  # processes that are this ingress; told of backends not listed yet
         self.active: dict[int, Customer] = {}  # those that the period looks at
         self.typical = [FIRST_GUESS * c.aim for c in settings.classes]  # latency of a class, uncrowded
@@ -102,7 +104,7 @@
                    api.ProbeResult: self._probed, api.TimerDue: self._timer, api.CounterReply: self._counted,
                    api.ClientGone: self._gone, api.StreamStarted: self._began, api.Arrived: self._arrived,
                    api.Spent: self._spent, api.Cells: self._cells,
-                   api.Twins: self._twins}
+                   api.Twins: self._twins, api.Barred: self._barred, api.Figures: self._figures}
 
     def start(self, now: float) -> list[api.Action]:
         return [api.Subscribe()] if self.settings.discovery == "ask" else []
@@ -250,6 +252,8 @@
     def _ask_counter(self, t: Try, now: float) -> None:
         """A try of a customer that few come from here waits for its store's word; in trouble fewer ask."""
         c, units, plan = t.customer, t.ask.units, self.settings.plans[t.customer.plan]
+        if self.mixed:  # our own parts only: others may take from a store by other figures
+            return self._enter(t, now)
         self.asking, self.asked_at = min(1.0, self.asking + ASK_BACK * (now - self.asked_at)), now
         part = self.asking * t.worth * units / self.usual_worth  # the dear ones first
         self.usual_worth += LEARN / 4 * (t.worth * units - self.usual_worth)
@@ -277,6 +281,7 @@
 
     def _tell(self, c: Customer, amount: float, now: float, last: bool = False, **values: object) -> None:
         name, start = tally.name_of(c.key, now - tally.EPOCH * last)
+        name += self.stamp * tally.STAMP
         self.asks.setdefault(name, deque()).append(Ask(c, start, now, last=last, **values))
         self.out.append(api.Count(name, amount, tally.LIFE))
 
@@ -346,7 +351,32 @@
             self._tell(c, level, now)
         return False
 
+    def _barred(self, event: api.Barred, now: float) -> None:
+        """What waits is ended at once; what is out may still be answered."""
+        self.barred = event.barred
+        for t in list(self.line.held.values()) if self.barred else ():
+            self._refuse(t, now, REST_MOST)
+
+    def _figures(self, event: api.Figures, now: float) -> None:
+        """Other figures: no store holds more than they allow, and no word by those before counts."""
+        for c in self.customers.values():
+            self._fill(c, now)
+            c.left, c.left_at = c.left + self.settings.plans[c.plan].rate * (now - c.left_at), now
+        self.settings = replace(self.settings, plans=event.plans)
+        self.stamp, self.mixed = event.stamp, event.mixed
+        for c in self.customers.values():
+            plan = self.settings.plans[c.plan]
+            self._part(c, c.width)
+            c.store, c.left = min(c.store, plan.burst), min(c.left, plan.burst)
+            c.level, c.ceiling = min(c.level, self._depth(c)), min(c.ceiling, part(c, plan)[0])
+        for t in self.line.open.values():   # a word of the counter was by the figures before
+            t.good_until = 0.0
+        self._pump(now)
+
     def _admit(self, ask: api.Request, now: float) -> None:
+        if self.barred:
+            advice = min(self.settings.max_advice, REST_MOST) if self.settings.may_advise else 0.0
+            return self.out.append(api.Refuse(ask.request, advice))
         c, cls, plan = self._customer(ask, now), self.settings.classes[ask.cls], self.settings.plans[ask.plan]
         came = now + ask.coming
         ends = came + ask.time_left - 2 * PUMP - self.settings.tick  # the last answer that is surely in time
@@ -553,7 +583,8 @@
             t.not_before = now + PAUSE_FULL * t.attempts * (o.status in (api.Status.FULL, api.Status.MOOT))
             again = t.ran_at is not None  # as time, effect and a budget against retry storms allow
             barred = o.status is api.Status.TIMEOUT or self.retries < 1.0 or not self._allowed(t, now)
-            if t.attempts >= self.settings.max_attempts or now >= t.ends or t.spent or again and barred:
+            if t.attempts >= self.settings.max_attempts or now >= t.ends or t.spent or again and barred or (
+                    self.barred):
                 self._refuse(t, now, 0.0)
             else:
                 self.retries -= again
--- /dev/null
+++ b/fennelpoint/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What the ingresses agree on: one small record, versions, licences, the audit (docs/fleet.md)."""
--- /dev/null
+++ b/fennelpoint/fleet/store.py
@@ -0,0 +1,148 @@
+"""A keeper's file: what it promised and accepted, its life, contents and the audit's spans, in SQLite.
+
+Each change of a vote is on disk (full sync) before it is told.  A file that can't be read, or is another
+keeper's, is set aside with one line, and the keeper starts without a vote.
+"""
+
+from __future__ import annotations
+
+import json
+import sqlite3
+from hashlib import sha256
+from pathlib import Path
+
+from fennelpoint.fleet.register import Cell, Keeper
+from fennelpoint.notice import log
+
+SCHEMA = 1
+TABLES = """
+CREATE TABLE IF NOT EXISTS about (key TEXT PRIMARY KEY, value TEXT NOT NULL) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS cells (key TEXT PRIMARY KEY, value TEXT NOT NULL, digest TEXT NOT NULL) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS lives (name TEXT PRIMARY KEY, life INTEGER NOT NULL) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS contents (digest TEXT PRIMARY KEY, data BLOB NOT NULL, at REAL NOT NULL) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS spans (
+    ingress TEXT NOT NULL, life TEXT NOT NULL, seq INTEGER NOT NULL, span TEXT NOT NULL,
+    PRIMARY KEY (ingress, life, seq)) WITHOUT ROWID;
+"""
+MOST_CONTENTS = 64
+MOST_SPANS = 10_000     # of an ingress; the oldest make room
+
+
+class BadStore(Exception):
+    """Why a file is not used, in one line."""
+
+
+class Store:
+    """One keeper's file in a folder.  `votes` is whether what it holds may be voted by."""
+
+    def __init__(self, folder: Path, name: str) -> None:
+        """Raises OSError where the folder can't be written to."""
+        folder.mkdir(parents=True, exist_ok=True)
+        self.path, self.name = folder / f"{name}.keeper", name
+        try:
+            self.keeper = self._open()
+        except (sqlite3.Error, BadStore, ValueError, TypeError, KeyError) as error:
+            aside = self.path.with_suffix(f".bad-{self.path.stat().st_mtime_ns}")
+            log.error("%s is not believed and set aside as %s: %s", self.path, aside.name, error)
+            self.db.close()
+            for suffix in ("-wal", "-shm"):
+                self.path.with_name(self.path.name + suffix).unlink(missing_ok=True)
+            self.path.rename(aside)
+            self.keeper = self._open()
+
+    def _open(self) -> Keeper:
+        fresh = not self.path.exists()
+        self.db = sqlite3.connect(self.path, isolation_level=None, check_same_thread=False)
+        self.db.execute("PRAGMA synchronous=FULL")
+        self.db.execute("PRAGMA journal_mode=WAL")
+        if not fresh and [row[0] for row in self.db.execute("PRAGMA quick_check")] != ["ok"]:
+            raise BadStore("it is torn")
+        self.db.executescript(TABLES)
+        about = dict(self.db.execute("SELECT key, value FROM about"))
+        if not about:
+            if not fresh:
+                raise BadStore("it is no keeper's")
+            return Keeper(self.name, 0, False, {}, {})
+        if about.get("schema") != str(SCHEMA) or about.get("name") != self.name:
+            raise BadStore(f"it is of keeper {about.get('name')!r} with schema {about.get('schema')!r}")
+        cells = {key: _cell(value, digest) for key, value, digest in self.db.execute("SELECT * FROM cells")}
+        return Keeper(self.name, int(about["life"]), True, dict(self.db.execute("SELECT * FROM lives")), cells)
+
+    def begin(self, keeper: Keeper) -> None:
+        """Vote as this from now on: a record that is founded, or what others knew."""
+        self.db.execute("BEGIN IMMEDIATE")
+        self.db.execute("DELETE FROM cells")
+        self._about(keeper)
+        for key in keeper.cells:
+            self._write(keeper, key)
+        self.db.execute("COMMIT")
+        self.keeper = keeper
+
+    def _about(self, keeper: Keeper) -> None:
+        rows = [("schema", str(SCHEMA)), ("name", keeper.name), ("life", str(keeper.life))]
+        self.db.executemany("INSERT OR REPLACE INTO about VALUES (?, ?)", rows)
+        self.db.executemany("INSERT OR REPLACE INTO lives VALUES (?, ?)", list(keeper.lives.items()))
+
+    def _write(self, keeper: Keeper, key: str) -> None:
+        cell = keeper.cells[key]
+        text = json.dumps([cell.promised, cell.accepted, cell.value], separators=(",", ":"))
+        self.db.execute("INSERT OR REPLACE INTO cells VALUES (?, ?, ?)", (key, text, _digest(text)))
+
+    def keep(self, keeper: Keeper, key: str | None) -> None:
+        """What a message changed: one cell, or the lives that are known."""
+        if keeper is self.keeper or not keeper.votes:
+            self.keeper = keeper
+            return      # what one without a vote knows counts for nothing
+        self.db.execute("BEGIN IMMEDIATE")
+        if key is None:
+            self._about(keeper)
+        else:
+            self._write(keeper, key)
+        self.db.execute("COMMIT")
+        self.keeper = keeper
+
+    # Contents
+
+    def content(self, digest: str) -> bytes | None:
+        row = self.db.execute("SELECT data FROM contents WHERE digest = ?", (digest,)).fetchone()
+        return row[0] if row is not None else None
+
+    def add_content(self, digest: str, data: bytes, at: float, kept: set[str]) -> None:
+        """`kept` are digests that are in use: the oldest of the others make room."""
+        self.db.execute("INSERT OR IGNORE INTO contents VALUES (?, ?, ?)", (digest, data, at))
+        rows = [row[0] for row in self.db.execute("SELECT digest FROM contents ORDER BY at")]
+        for old in [d for d in rows if d not in kept and d != digest][:max(0, len(rows) - MOST_CONTENTS)]:
+            self.db.execute("DELETE FROM contents WHERE digest = ?", (old,))
+
+    # Spans of the audit, as text
+
+    def add_spans(self, spans: dict[tuple[str, str, int], str]) -> None:
+        """By ingress, life and number; one that is there already is told anew."""
+        self.db.execute("BEGIN")
+        self.db.executemany("INSERT OR REPLACE INTO spans VALUES (?, ?, ?, ?)",
+                            [(*key, span) for key, span in spans.items()])
+        for ingress in {key[0] for key in spans}:
+            (count,) = self.db.execute("SELECT COUNT(*) FROM spans WHERE ingress = ?", (ingress,)).fetchone()
+            if count > MOST_SPANS:
+                self.db.execute("DELETE FROM spans WHERE ingress = ?1 AND (life, seq) IN (SELECT life, seq FROM "
+                                "spans WHERE ingress = ?1 ORDER BY json_extract(span, '$.begin[0]') LIMIT ?2)",
+                                (ingress, count - MOST_SPANS))
+        self.db.execute("COMMIT")
+
+    def spans(self, ingress: str | None = None) -> list[str]:
+        where, values = ("WHERE ingress = ?", (ingress,)) if ingress is not None else ("", ())
+        return [row[0] for row in self.db.execute(f"SELECT span FROM spans {where}", values)]
+
+    def close(self) -> None:
+        self.db.close()
+
+
+def _digest(text: str) -> str:
+    return sha256(text.encode()).hexdigest()
+
+
+def _cell(text: str, digest: str) -> Cell:
+    if _digest(text) != digest:
+        raise BadStore("a cell's checksum does not fit")
+    promised, accepted, value = json.loads(text)
+    return Cell(tuple(promised), tuple(accepted), value)
--- a/fennelpoint/interface.py
+++ b/fennelpoint/interface.py
@@ -223,6 +223,26 @@
     parts: int
 
 
+@dataclass(slots=True)
+class Barred:
+    """Whether nothing may be sent from now on: what waits and what comes is refused at once."""
+
+    barred: bool
+
+
+@dataclass(slots=True)
+class Figures:
+    """The plans from now on, by name and order the same.
+
+    `stamp` tells these figures from all others: stores on the counter are kept apart by it.  `mixed`: other
+    ingresses may still go by others, so that no word of the counter counts.
+    """
+
+    plans: list[Plan]
+    stamp: int = 0
+    mixed: bool = False
+
+
 @dataclass(slots=True)
 class Told:
     """What a process before this one knew, as it told it (`handover.py`)."""
@@ -285,8 +305,8 @@
     latency: float
 
 
-Event = (Roster | Request | Arrived | Spent | Cells | Twins | Told | Outcome | StreamStarted | ClientGone
-         | TimerDue | ProbeResult | PeerMessage | CounterReply)
+Event = (Roster | Request | Arrived | Spent | Cells | Barred | Figures | Twins | Told | Outcome
+         | StreamStarted | ClientGone | TimerDue | ProbeResult | PeerMessage | CounterReply)
 
 
 # Actions
--- a/fennelpoint/lifecycle.py
+++ b/fennelpoint/lifecycle.py
@@ -17,6 +17,7 @@
     SERVING = "serving"
     DRAINING = "draining"   # sends clients away; something is still open
     DRAINED = "drained"     # nothing is open; the process stays
+    SHUT = "shut out"       # may send nothing: it goes by what may be out of force
     STOPPING = "stopping"   # told to end
     LEAVING = "leaving"     # told to end while a successor serves at the same address
     STOPPED = "stopped"
@@ -27,6 +28,8 @@
     DRAIN = "drain"
     RESUME = "resume"
     EMPTIED = "emptied"     # no client's connection is open
+    BAR = "bar"             # nothing may be sent
+    ADMIT = "admit"         # it may again
     TERM = "term"
     RELIEVED = "relieved"   # told to end, and a successor serves
     OVER = "over"           # all is answered, or the time to do so is up
@@ -62,8 +65,12 @@
     (P.STARTING, E.RESUME): P.STARTING, (P.SERVING, E.RESUME): P.SERVING,
     (P.DRAINING, E.RESUME): P.SERVING, (P.DRAINED, E.RESUME): P.SERVING,
     (P.DRAINING, E.EMPTIED): P.DRAINED, (P.DRAINED, E.EMPTIED): P.DRAINED,
-    **{(p, E.TERM): P.STOPPING for p in (P.STARTING, P.SERVING, P.DRAINING, P.DRAINED, P.STOPPING)},
-    **{(p, E.RELIEVED): P.LEAVING for p in (P.STARTING, P.SERVING, P.DRAINING, P.DRAINED, P.LEAVING)},
+    (P.SERVING, E.BAR): P.SHUT, (P.SHUT, E.ADMIT): P.SERVING, (P.SERVING, E.ADMIT): P.SERVING,
+    **{(p, e): p for p in (P.STARTING, P.DRAINING, P.DRAINED, P.STOPPING, P.LEAVING) for e in (E.BAR, E.ADMIT)},
+    (P.SHUT, E.BAR): P.SHUT, (P.SHUT, E.LISTED): P.SERVING, (P.SHUT, E.DRAIN): P.DRAINING,
+    (P.SHUT, E.RESUME): P.SERVING,      # which it is only once it is admitted
+    **{(p, E.TERM): P.STOPPING for p in (P.STARTING, P.SERVING, P.DRAINING, P.DRAINED, P.SHUT, P.STOPPING)},
+    **{(p, E.RELIEVED): P.LEAVING for p in (P.STARTING, P.SERVING, P.DRAINING, P.DRAINED, P.SHUT, P.LEAVING)},
     (P.LEAVING, E.TERM): P.LEAVING, (P.STOPPING, E.RELIEVED): P.STOPPING,
     (P.STOPPING, E.OVER): P.STOPPED, (P.LEAVING, E.OVER): P.STOPPED,
 }
@@ -75,14 +82,18 @@
     def __init__(self, now: float) -> None:
         self.phase, self.since = Phase.STARTING, now
         self.listed = False
+        self.barred = False     # whoever asks by what right it acts has said no
 
     def handle(self, event: Event, now: float) -> None:
         """Move; raises IllegalMove and stays where it is."""
         if (phase := MOVES.get((self.phase, event))) is None:
             raise IllegalMove(self.phase, event)
         self.listed = self.listed or event is Event.LISTED
+        self.barred = event is Event.BAR or self.barred and event is not Event.ADMIT
         if phase is Phase.SERVING and not self.listed:
             phase = Phase.STARTING
+        elif phase is Phase.SERVING and self.barred:
+            phase = Phase.SHUT
         if phase is not self.phase:
             self.phase, self.since = phase, now
 
@@ -105,7 +116,7 @@
         age = now - self.since
         if self.phase is Phase.DRAINING and age >= SETTLE and not connections:
             self.handle(Event.EMPTIED, now)
-        if self.phase in (Phase.DRAINING, Phase.DRAINED):
+        if self.phase in (Phase.DRAINING, Phase.DRAINED, Phase.SHUT):
             return [Step.CLOSE_IDLE] if age >= SETTLE or self.phase is Phase.DRAINED else []
         if self.phase not in ENDING:
             return []
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -51,7 +51,7 @@
 class Exchange:
     """One request to one backend, from the wish to send it until its outcome."""
 
-    __slots__ = ("render", "done", "begun", "upload", "taken", "connection", "connecting", "ended")
+    __slots__ = ("render", "done", "begun", "upload", "taken", "may", "connection", "connecting", "ended")
 
     def __init__(self, render: Callable[[], bytes], done: Callable[[Status, Answer | None], None],
                  begun: Callable[[Answer, UpstreamConnection], Sink | None] = lambda answer, source: None,
@@ -61,6 +61,7 @@
         self.begun = begun      # told when a large answer begins to come; who takes it, or nobody
         self.upload = upload    # the request's body, where that is passed on as it comes
         self.taken = taken      # told when some of that has been written
+        self.may: Callable[[], bool] | None = None  # whether it may still be sent; none: always
         self.connection: UpstreamConnection | None = None
         self.connecting: asyncio.Task | None = None
         self.ended = False
@@ -144,6 +145,10 @@
             self.start(first)
 
     def start(self, exchange: Exchange) -> None:
+        # Right before the write: what waited for this connection may have waited while the process was stopped.
+        if exchange.may is not None and not exchange.may():
+            self.close()
+            return exchange.end(Status.MOOT)
         self.exchange, exchange.connection, exchange.connecting = exchange, self, None
         self._reset()
         self.flushed = True     # unless pause_writing says that some is left
@@ -161,6 +166,8 @@
         """Write what there is of a body that is passed on as it comes, if the backend takes it."""
         upload = self.exchange.upload
         if self.flushed and upload.waits:
+            if self.exchange.may is not None and not self.exchange.may():
+                return self.exchange.give_up(Status.CANCELLED)
             self.pushed_at = time.monotonic()
             self.transport.write(upload.take())
             self.exchange.taken()
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -98,6 +98,7 @@
         self.loop, self.settings, self.backends, self.budget = loop, settings, backends, budget
         self.clock = Clock()
         self.cells: CellsService | None = None  # where the operator file names a plan
+        self.gate: Callable[[], bool] | None = None     # whether anything may be sent; asked before each send
         self.watchers: list[Callable[[api.Roster], None]] = []  # hear of a list before the module does
         driver = Driver(loop, self.clock, counter, self.post)
         self.tickets: dict[int, Ticket] = {}
@@ -241,7 +242,8 @@
         ticket, now = self.tickets.get(send.request), self.clock()
         number = ticket.attempts if ticket is not None else 0
         if (ticket is None or ticket.client is None or ticket.begun or now >= ticket.deadline
-                or send.timeout < 0.0 or number >= self.settings.max_attempts):
+                or send.timeout < 0.0 or number >= self.settings.max_attempts
+                or (self.gate is not None and not self.gate())):
             return self.post(api.Outcome(send.request, number, send.backend, api.Status.MOOT, 0.0,
                                          ticket is None or ticket.client is None))
         ticket.attempts += 1
@@ -284,6 +286,7 @@
             return ticket.asked.render(ticket.asked.time_left)
 
         exchange = Exchange(render, done, begun, ticket.asked.upload, ticket.taken)
+        exchange.may = self.gate
         ticket.out[number] = exchange
         if until < ticket.deadline and ticket.asked.upload is None:     # else the request's own timer ends it
             timer = self.loop.call_later(until - now, exchange.give_up, api.Status.TIMEOUT)
--- a/fennelpoint/net/routed.py
+++ b/fennelpoint/net/routed.py
@@ -100,11 +100,14 @@
         reader = ingress.server.reader = RoutedReader(config.settings, config.read.table())
         self.follower = Follower(ingress.loop, reader, config.settings, routes, config.read.files)
         config.read = None      # its bytes are of no more use
+        self.ruled = False      # the fleet's version holds the description
 
     async def start(self) -> None:
         self.follower.start()
 
     def reload(self) -> None:
+        if self.ruled:
+            return log.info("the description stays as it is: the fleet's version has one")
         path, name = self.ingress.operator_path, self.ingress.config.name
         try:
             routes = read_operator(path).routes if path else self.routes
--- a/fennelpoint/operator.py
+++ b/fennelpoint/operator.py
@@ -129,6 +129,26 @@
     plan: str = path_field()
 
 
+@dataclass(frozen=True, slots=True)
+class Keeper:
+    """[keeper]: a keeper of the fleet's record, a process of its own (docs/fleet.md)."""
+
+    keepers: list[str] = field(metadata={"named": True})    # all 1, 3 or 5 of them: NAME=HOST:PORT
+    folder: str = field(default="keepers", metadata={"folder": True})   # of its file
+    etcd: str = address_field("", empty=True)   # the record is kept there instead, by its v3 API
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSection:
+    """[fleet]: an ingress acts on the fleet's version, by a licence (docs/fleet.md)."""
+
+    keepers: list[str] = field(metadata={"named": True})    # NAME=HOST:PORT
+    listen: str = address_field("127.0.0.1:17901")      # for peers, and for people who ask
+    advertise: str = address_field("", empty=True)      # where peers reach that; none: `listen` itself
+    folder: str = field(default="", metadata={"folder": True})  # state and audit; none: nothing outlives it
+    peers: list[str] = field(default_factory=list, metadata={"named": True})    # in place of the roster's addresses
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """The whole file; a part that is None is off."""
@@ -138,6 +158,8 @@
     control: Control | None = None
     announce: Announce | None = None
     cells: Cells | None = None
+    keeper: Keeper | None = None
+    fleet: FleetSection | None = None
 
 
 class Faults:
@@ -160,6 +182,10 @@
     operator, fault = read_typed(path, Operator)
     if operator is not None and operator.schema != SCHEMA:
         fault(("schema",), f"{operator.schema} is not known here: this program reads {SCHEMA}")
+    if operator is not None and operator.keeper is not None and len(operator.keeper.keepers) not in (1, 3, 5):
+        fault(("keeper", "keepers"), f"{len(operator.keeper.keepers)} keepers: there are 1, 3 or 5 of them")
+    if operator is not None and operator.fleet is not None and not operator.fleet.keepers:
+        fault(("fleet", "keepers"), "it names no keeper")
     fault.end()
     return operator
 
@@ -189,6 +215,13 @@
     return reader.read(cls, value, ()), Faults(reader)
 
 
+def address_of(named: str) -> tuple[str, tuple[str, int]]:
+    """Of NAME=HOST:PORT, which was checked: the name, and where it is."""
+    name, _, address = named.partition("=")
+    host, _, port = address.rpartition(":")
+    return name, (host.strip("[]"), int(port))
+
+
 HEADER = re.compile(r"\s*\[\[?\s*([^\[\]]+?)\s*\]\]?\s*(#.*)?$")
 KEY = re.compile(r"\s*([A-Za-z0-9_.\"'-]+(?:\s*\.\s*[A-Za-z0-9_\"'-]+)*)\s*=")
 
@@ -258,9 +291,9 @@
 
     def _value(self, value: object, kind: type, bounds: dict, place: tuple[str, ...]) -> object:
         if get_origin(kind) is list:
-            if isinstance(value, list) and all(isinstance(item, str) for item in value):
-                return value
-            return self.fault(place, f"{value!r} is not a list of texts")
+            if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+                return self.fault(place, f"{value!r} is not a list of texts")
+            return self._named(value, place) if bounds.get("named") else value
         if kind is float and isinstance(value, int) and not isinstance(value, bool):
             value = float(value)
         if type(value) is not kind or (kind is float and not math.isfinite(value)):
@@ -274,6 +307,8 @@
             match = ADDRESS.fullmatch(value)
             if match is None or int(match[1] or match[2]) > 65535:
                 return self.fault(place, f"{value!r} is not HOST:PORT")
+        if bounds.get("folder"):
+            return str(self.path.parent / value) if value else ""
         if bounds.get("path"):
             if not value:
                 return self.fault(place, "it names no file")
@@ -281,3 +316,14 @@
             if not Path(value).is_file():
                 return self.fault(place, f"there is no file {value}")
         return value
+
+    def _named(self, value: list[str], place: tuple[str, ...]) -> object:
+        """A list of NAME=HOST:PORT, each name once."""
+        names = [item.partition("=")[0] for item in value]
+        for i, item in enumerate(value):
+            match = ADDRESS.fullmatch(item.partition("=")[2])
+            if not names[i] or match is None or int(match[1] or match[2]) > 65535:
+                return self.fault(place, f"{item!r} is not NAME=HOST:PORT")
+            if names[i] in names[:i]:
+                return self.fault(place, f"{names[i]!r} is named twice")
+        return value
--- a/fennelpoint/parts.py
+++ b/fennelpoint/parts.py
@@ -95,8 +95,18 @@
     return TwinsPart.made(ingress)
 
 
+def _fleet(ingress: Ingress) -> Part | None:
+    """A licence for the fleet's version, where the operator file has a fleet section."""
+    if ingress.config.operator is None or (section := ingress.config.operator.fleet) is None:
+        return None
+    from fennelpoint.fleet.part import FleetPart
+
+    return FleetPart(ingress, section)
+
+
 MAKERS: dict[str, Callable[[Ingress], Part | None]] = {
-    "door": _door, "cells": _cells, "routes": _routes, "announce": _announce, "twins": _twins}
+    "door": _door, "cells": _cells, "routes": _routes, "announce": _announce, "twins": _twins,
+    "fleet": _fleet}
 
 
 def make_parts(ingress: Ingress) -> dict[str, Part]:
--- a/fennelpoint/tally.py
+++ b/fennelpoint/tally.py
@@ -19,6 +19,7 @@
 
 EPOCH, LIFE = 45.0, 60.0    # s that one name is used, and that the counter keeps it for
 SPACE, EPOCHS = 1 << 41, 1 << 16    # names of stores lie above all others; a customer's that differ
+STAMP = SPACE * (EPOCHS + 2)    # names by other figures
 GOLDEN = 0.6180339887498949
 OVER, DEEP = 0.25, 0.5      # of the burst: ran over and not yet told; below nothing, where no true store gets
 OVER_SLACK = 0.4            # of a ceiling's slack at most; the rest is for words that are a while old
