--- a/fennelpoint/fleet/register.py
+++ b/fennelpoint/fleet/register.py
@@ -233,7 +233,8 @@
         made = replace(self, asked={**self.asked, answer.name: answer})
         if len(made.asked) < majority(self.keepers):
             return made
-        newest = max(dict(known.lives).get(self.name, 0) for known in made.asked.values())
+        # Every keeper's first life is 1, and nobody was told of it.
+        newest = max(dict(known.lives).get(self.name, 1) for known in made.asked.values())
         return replace(made, life=newest + 1, told={})
 
     @property
--- /dev/null
+++ b/fennelpoint/standins/explore.py
@@ -0,0 +1,159 @@
+"""A model checker of the register: every order in which messages can be lost, doubled and come late.
+
+The states are the real decider's own values (`fleet/register.py`).  The network is a set to which messages to
+keepers are added and from which none is taken: each may be delivered at any time, again, or never.  An answer is
+heard when it is given, or never: one that comes late is the same as a proposer whose next messages are late.
+Refusals only end rounds early, and are left out.  A proposer may stop at any point by never being heard again; a
+keeper may lose all it knew and rejoin.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from itertools import combinations
+
+from fennelpoint.fleet.register import (
+    Answer,
+    Cell,
+    Keeper,
+    Known,
+    Rejoin,
+    Round,
+    handle,
+    majority,
+)
+
+KEY = "x"
+
+
+@dataclass(frozen=True)
+class Append:
+    """A change that puts one id behind those that are there, once."""
+
+    id: str
+
+    def __call__(self, held: object) -> object:
+        held = held or ()
+        return held if self.id in held else (*held, self.id)
+
+
+@dataclass(frozen=True)
+class World:
+    keepers: tuple[Keeper, ...]
+    rounds: tuple[Round, ...]           # one a ballot that a proposer may try
+    begun: frozenset[int]               # of these, whose prepares went out
+    net: frozenset                      # to which keeper, the message, and whose: a round, or who rejoins
+    done: frozenset                     # values that a proposer knows to be agreed
+    rejoins: tuple[Rejoin | None, ...]  # by keeper
+    losses: int                         # keepers that may still lose what they knew
+
+    def key(self) -> tuple:
+        return (tuple((k.life, k.votes, tuple(sorted(k.lives.items())), k.cells.get(KEY)) for k in self.keepers),
+                tuple((frozenset(r.promises), r.sent, r.votes) for r in self.rounds), self.begun, self.net,
+                self.done, tuple(r and (r.life, _names(r.asked), _names(r.told or {}), r.told is None)
+                                 for r in self.rejoins), self.losses)
+
+
+def _names(known: dict) -> tuple:
+    return tuple(sorted((name, k.lives, k.cells) for name, k in known.items()))
+
+
+def begin(keepers: int, tries: list[tuple[str, int]], losses: int) -> World:
+    """`tries` are (proposer, round): each changes the register by its own name, in that ballot."""
+    names = [f"k{i}" for i in range(keepers)]
+    made = tuple(Keeper(name, 1, True, {}, {}) for name in names)
+    rounds = tuple(Round(KEY, (number, who), Append(who), keepers) for who, number in tries)
+    return World(made, rounds, frozenset(), frozenset(), frozenset(), (None,) * keepers, losses)
+
+
+def steps(world: World, answer: Callable = handle) -> list[World]:
+    """Every world that can follow."""
+    out = []
+    index = {keeper.name: i for i, keeper in enumerate(world.keepers)}
+    for i, one in enumerate(world.rounds):
+        if i not in world.begun:
+            net = world.net | {(k.name, one.first, i) for k in world.keepers}
+            out.append(replace(world, begun=world.begun | {i}, net=net))
+    for to, message, whose in world.net:
+        i = index[to]
+        keeper, told = answer(world.keepers[i], message)
+        made = world if keeper == world.keepers[i] else replace(
+            world, keepers=_put(world.keepers, i, keeper))
+        if made is not world:
+            out.append(made)    # its answer is lost
+        if (after := _hear(made, told, whose, index)) is not made:
+            out.append(after)
+    if world.losses:
+        for i, keeper in enumerate(world.keepers):
+            if keeper.votes:
+                state = Rejoin(keeper.name, len(world.keepers), {})
+                # What it had sent before is still under way; its answers to others, too.
+                net = world.net | {(k.name, state.message, keeper.name) for k in world.keepers
+                                   if k.name != keeper.name}
+                out.append(replace(
+                    world, keepers=_put(world.keepers, i, Keeper(keeper.name, 0, False, {}, {})),
+                    rejoins=_put(world.rejoins, i, state), losses=world.losses - 1, net=net))
+    return out
+
+
+def _hear(world: World, told: Answer, whose: int | str, index: dict[str, int]) -> World:
+    """The world once an answer was heard; the same where it changes nothing, as a refusal does."""
+    if isinstance(told, Known):
+        i = index[whose]
+        if (state := world.rejoins[i]) is None or (new := state.heard(told)) == state:
+            return world
+        made = replace(world, rejoins=_put(world.rejoins, i, new))
+        if new.message != state.message:
+            made = replace(made, net=made.net | {
+                (k.name, new.message, whose) for k in made.keepers if k.name != whose})
+        if (keeper := new.keeper) is not None:
+            made = replace(made, keepers=_put(made.keepers, i, keeper), rejoins=_put(made.rejoins, i, None))
+        return made
+    one = world.rounds[whose]
+    if not told.ok or (new := one.heard(told)) == one:
+        return world
+    made = replace(world, rounds=_put(world.rounds, whose, new))
+    if new.sent is not None and one.sent is None:
+        made = replace(made, net=made.net | {(name, new.sent, whose) for name in new.asks})
+    return replace(made, done=made.done | {new.sent.value}) if new.done else made
+
+
+def _put(items: tuple, i: int, one: object) -> tuple:
+    return (*items[:i], one, *items[i + 1:])
+
+
+def fault(world: World) -> str:
+    """What is wrong in a world; empty where nothing is.
+
+    Values that were agreed are one chain: each has in it all that was agreed before.  And what a majority of
+    those that vote holds alike, which a read takes for the newest, has in it all that is known to be agreed.
+    """
+    chain = sorted(world.done, key=len)
+    for shorter, longer in zip(chain, chain[1:], strict=False):
+        if longer[:len(shorter)] != shorter:
+            return f"{shorter} and {longer} were both agreed"
+    voting = [k.cells.get(KEY, Cell()) for k in world.keepers if k.votes]
+    for group in combinations(voting, majority(len(world.keepers))):
+        if len({cell.accepted for cell in group}) == 1 and chain:
+            value = group[0].value or ()
+            if value[:len(chain[-1])] != chain[-1]:
+                return f"a read finds {value}, and {chain[-1]} was agreed"
+    return ""
+
+
+def explore(world: World, most: int, answer: Callable = handle) -> tuple[int, str, bool]:
+    """How many worlds there are, the first fault, and whether all were seen."""
+    seen, queue = {world.key()}, deque([world])
+    while queue:
+        one = queue.popleft()
+        if why := fault(one):
+            return len(seen), why, False
+        for new in steps(one, answer):
+            if (key := new.key()) not in seen:
+                if len(seen) >= most:
+                    return len(seen), "", False
+                seen.add(key)
+                queue.append(new)
+    return len(seen), "", True
