--- a/fennelpoint/fleet/contents.py
+++ b/fennelpoint/fleet/contents.py
@@ -80,13 +80,13 @@
         raise FaultyFile([Fault(digest[:12], 0, "", "the content is not what its digest says")])
     try:
         value = json.loads(data)
-        files = value["files"]
-        if value["schema"] != SCHEMA:
-            raise FaultyFile([Fault(digest[:12], 0, "schema", f"{value['schema']!r} is not known here")])
+        files, schema = value["files"], value["schema"]
         if not all(isinstance(text, str) for text in files.values()):
             raise TypeError
     except (ValueError, KeyError, TypeError, AttributeError):
         raise FaultyFile([Fault(digest[:12], 0, "", "the content is no set of files")]) from None
+    if schema != SCHEMA:
+        raise FaultyFile([Fault(digest[:12], 0, "schema", f"{schema!r} is not known here: {SCHEMA} is")])
     return check(files, digest)
 
 
--- a/fennelpoint/fleet/keeper.py
+++ b/fennelpoint/fleet/keeper.py
@@ -263,6 +263,8 @@
         fleet = self.base.fleet
         left = self.base.at + fleet.bounds.licence_s - now
         refused = self.conductor.heard(word, fleet.bounds.licence_s)
+        for fields in call.get("relayed", []):
+            self.conductor.heard(_word(fields, now - float(fields["age"])), fleet.bounds.licence_s)
         if not refused and fleet.members.get(word.name) != word.member:
             self.joining[word.name] = word.member
             refused = self.refused.get(word.name, "") or "it joins the fleet"
@@ -341,8 +343,9 @@
         self._take(held, steady())
         if self.base is None:
             raise ValueError("there is no record yet")
-        old = await self._content_of(self.base.fleet.version.digest)
-        kind = call.get("kind") or contents.kind(None, old, content)
+        digest = self.base.fleet.version.digest
+        kind = call.get("kind") or (state.TIGHTENING if digest == state.LOST else contents.kind(
+            None, await self._content_of(digest), content))
         if kind not in (state.LOOSENING, state.TIGHTENING):
             raise ValueError(f"{kind!r} is neither {state.LOOSENING} nor {state.TIGHTENING}")
         await self._spread(content.digest, data)
@@ -366,11 +369,21 @@
     async def _spread(self, digest: str, data: bytes) -> None:
         self.store.add_content(digest, data, time.time(), self._digests())
         text = base64.b64encode(data).decode()
-        told = await asyncio.gather(*(call_once(address, "keep_content", 5.0, digest=digest, data=text)
-                                      for address in self.peers.values()), return_exceptions=True)
-        have = 1 + sum(not isinstance(one, BaseException) for one in told)
-        if have < majority(1 + len(self.peers)):
-            raise ValueError(f"{have} of {1 + len(self.peers)} keepers took the content: too few")
+        have, most = 1, 1 + len(self.peers)
+        calls = [asyncio.ensure_future(call_once(address, "keep_content", 5.0, digest=digest, data=text))
+                 for address in self.peers.values()]
+        for call in calls:
+            call.add_done_callback(lambda call: call.cancelled() or call.exception())
+        for call in asyncio.as_completed(calls):
+            if have >= majority(most):
+                return      # the rest have it later, or fetch it
+            try:
+                await call
+                have += 1
+            except CallFailed:
+                pass
+        if have < majority(most):
+            raise ValueError(f"{have} of {most} keepers took the content: too few")
 
     async def step(self, call: dict) -> dict:
         """Halt a version, or forget a member, by a person's word."""
--- a/fennelpoint/fleet/licence.py
+++ b/fennelpoint/fleet/licence.py
@@ -141,10 +141,11 @@
         out: list[Action] = []
         if self.fleet is not None:
             target, coming = self.fleet.target, self.fleet.coming
-            if self._has(target.digest):
+            if self._has(target.digest) or target.number == self.acting:
                 out += self._act(target.number, target.digest, self.fleet.mixed)
             for wanted in (target, coming):
-                if wanted is not None and not self._has(wanted.digest) and not self.fetching:
+                if wanted is not None and not self.fetching and wanted.number != self.acting and (
+                        not self._has(wanted.digest)):
                     self.fetching = wanted.digest
                     out.append(Fetch(wanted.number, wanted.digest))
         self._static(now)
@@ -188,13 +189,15 @@
         if number != self.acting:
             # What was licensed was the version before: the next answer of a keeper is for this one.
             self.static_until = 0.0
-        self.acting, self.digest, self.mixed = number, digest, mixed
-        return [Act(number, digest, mixed, why)]
+            self.digest = digest    # else what it holds stays: one number is one content
+        self.acting, self.mixed = number, mixed
+        return [Act(number, self.digest, mixed, why)]
 
     def _extend(self, fleet: Fleet, until: float, source: str) -> None:
         """A licence is for the target of the state that it was given by, and for nothing else."""
         target = fleet.target
-        if self._has(target.digest) and target.number >= self.acting and until > self.until:
+        has = self._has(target.digest) or target.number == self.acting
+        if has and target.number >= self.acting and until > self.until:
             self.until, self.source = until, source
 
     def _static(self, now: float) -> None:
@@ -224,7 +227,7 @@
         if self.fleet is None:
             return "nothing of the fleet's record was heard yet"
         target = self.fleet.target
-        if not self._has(target.digest):
+        if not self._has(target.digest) and target.number != self.acting:
             return f"version {target.number} is not at hand" + (f": {self.fault}" if self.fault else "")
         names = ", ".join(sorted(self.peers)) or "no peer"
         return f"no licence for {now - max(self.until, self.static_until):.1f} s: no keeper is heard, and {names}"
--- a/fennelpoint/fleet/part.py
+++ b/fennelpoint/fleet/part.py
@@ -80,6 +80,7 @@
         self.given = dict(map(address_of, section.peers))
         self.peers: dict[str, Line] = {}
         self.turn = random.randrange(1 << 20)
+        self.passing: dict[str, tuple[float, dict]] = {}    # words of peers that hear no keeper, and when they came
         self.soon = asyncio.Event()
         self.service = Service("fleet", self.handle)
         self.tasks: list[asyncio.Task] = []
@@ -169,7 +170,7 @@
             log.error("state set aside", ingress=self.name, file=str(path), why=str(error))
             _quietly(lambda: path.rename(path.with_suffix(".bad")))
             return
-        for digest in {fleet.target.digest, fleet.version.digest}:
+        for digest in {fleet.target.digest, fleet.version.digest, str(value.get("digest", ""))}:
             if digest:
                 self._take_data(digest, self._on_disk(digest))
 
@@ -193,8 +194,9 @@
 
     def _keep_state(self) -> None:
         if self.folder is not None and self.licence.fleet is not None:
-            text = json.dumps({"name": self.name, "revision": self.licence.revision,
-                               "acting": self.licence.acting, "fleet": self.licence.fleet.value()}).encode()
+            licence = self.licence
+            text = json.dumps({"name": self.name, "revision": licence.revision, "acting": licence.acting,
+                               "digest": licence.digest, "fleet": licence.fleet.value()}).encode()
             self.kept = self.licence.revision
             self._write(self.folder / f"{self.name}.state", b"%08x %b" % (crc32(text), text))
 
@@ -240,12 +242,18 @@
                 "fault": licence.fault, "phase": self.ingress.life.phase.value, "revision": licence.revision,
                 "record": fleet.record if fleet is not None else ""}
 
+    def _relayed(self) -> list[dict]:
+        """What peers that hear no keeper said to us, each with the most time that may have passed since."""
+        now, life = steady(), self._life_s()
+        self.passing = {n: (at, word) for n, (at, word) in self.passing.items() if now - at < life}
+        return [{**word, "age": now - at + life / 6} for at, word in list(self.passing.values())[:MOST_PEERS]]
+
     async def _renew_by(self, name: str) -> bool:
         spans = [*self.before[:50], *self.book.due(name)]
         asked = steady()
         try:
             answer = await self.keepers[name].call("renew", max(0.1, self._life_s() / 6), **self._word(),
-                                                   spans=[s.value() for s in spans])
+                                                   spans=[s.value() for s in spans], relayed=self._relayed())
             heard = steady()
             fleet = state.read(answer["fleet"]) if "fleet" in answer else self.licence.fleet
             left, revision, clock = float(answer["left"]), int(answer["revision"]), float(answer["clock"])
@@ -263,12 +271,12 @@
         self._do(self.licence.granted(name, fleet, revision, left, asked, heard))
         if self.licence.revision != self.kept:  # before the next word says that we know it
             self._keep_state()
-        if left > 0.0:
+        if self.licence.until > heard:  # else it was for another record, or for a version that we don't have
             self.last_renewed, self.trouble = heard, ""
         behind = [n for n in answer.get("behind", []) if n != self.name]
         for peer in random.sample(behind, min(TELL, len(behind))):
             self.tasks.append(asyncio.ensure_future(self._tell(peer)))
-        return left > 0.0
+        return self.licence.until - heard > self._life_s() / 2
 
     def _peer_lines(self) -> dict[str, Line]:
         fleet = self.licence.fleet
@@ -293,8 +301,7 @@
     async def _ask_peer(self, name: str, line: Line) -> None:
         asked, fleet = steady(), self.licence.fleet
         try:
-            answer = await line.call("peer", max(0.1, self._life_s() / 6), name=self.name,
-                                     revision=self.licence.revision, record=fleet.record if fleet else "")
+            answer = await line.call("peer", max(0.1, self._life_s() / 6), **self._word())
             newer = state.read(answer["fleet"]) if "fleet" in answer else None
             word = PeerWord(str(answer["name"]), int(answer["acting"]), float(answer["left"]),
                             answer["firm"] is True, int(answer["revision"]), newer)
@@ -484,6 +491,11 @@
 
     def _say(self, call: dict) -> dict:
         licence, fleet, now = self.licence, self.licence.fleet, steady()
+        if fleet is not None and call["name"] in fleet.members:
+            before = self.passing.get(call["name"])
+            self.passing[call["name"]] = now, {k: v for k, v in call.items() if k not in ("do", "id")}
+            if before is None or any(before[1][k] != call[k] for k in ("acting", "prepared")):
+                self.soon.set()     # keepers wait for just that
         answer = {"name": self.name, "acting": licence.acting, "left": licence.until - now,
                   "firm": licence.firm, "revision": licence.revision, "record": fleet.record if fleet else ""}
         if fleet is not None and (call["record"] != fleet.record or call["revision"] < licence.revision):
--- a/fennelpoint/fleet/state.py
+++ b/fennelpoint/fleet/state.py
@@ -21,6 +21,7 @@
 MOST_MEMBERS = 1000
 MOST_HISTORY = 32
 OFFERED, CLOSING = "offered", "closing"
+LOST = "lost"       # the digest of a content that no keeper has
 LOOSENING, TIGHTENING = "loosening", "tightening"
 
 
@@ -150,8 +151,11 @@
 
 
 def found(record: str, bounds: Bounds, number: int = 0) -> Fleet:
-    """A record's first state; `number` above 0 goes on after one that was lost."""
-    return Fleet(record, Version(number, ""), last=number, bounds=bounds)
+    """A record's first state; `number` above 0 goes on after one that was lost.
+
+    What that version held is lost, too: who acts on it goes on, nobody else can, until the next is in force.
+    """
+    return Fleet(record, Version(number, LOST if number else ""), last=number, bounds=bounds)
 
 
 def join(fleet: Fleet, newcomers: Mapping[str, Member]) -> Fleet:
--- /dev/null
+++ b/fennelpoint/standins/broken.py
@@ -0,0 +1,66 @@
+"""A program that is broken on purpose: `python -m fennelpoint.standins.broken FAULT MODULE [ARGUMENTS]`.
+
+Checks that are to find something are first shown to find this.
+"""
+
+from __future__ import annotations
+
+import runpy
+import sys
+
+
+def gate() -> None:
+    """Nothing is asked before a send."""
+    from fennelpoint.fleet.part import FleetPart
+
+    FleetPart.may_send = lambda self: True
+
+
+def licence() -> None:
+    """A licence never ends."""
+    from fennelpoint.fleet.licence import Licence
+
+    Licence.valid = lambda self, now: True
+
+
+def eager() -> None:
+    """A version is in force as soon as one has gone over to it."""
+    from fennelpoint.fleet import conduct
+
+    conduct.overreach, conduct.DRIFT = lambda fleet, out: "" if len(out) < len(fleet.members) else "all", -0.5
+
+
+def backward() -> None:
+    """Whatever a keeper says is gone by, older or not."""
+    from fennelpoint.fleet.licence import Act, Licence
+
+    def act(self, number, digest, mixed):
+        if (number, mixed) == (self.acting, self.mixed):
+            return []
+        self.acting, self.digest, self.mixed = number, digest, mixed
+        return [Act(number, digest, mixed, "broken")]
+
+    Licence._act = act
+    Licence._learn = lambda self, fleet, revision, whom: (
+        setattr(self, "fleet", fleet) or setattr(self, "revision", revision) or [])
+
+
+def figures() -> None:
+    """Other figures of plans are not gone by."""
+    from fennelpoint.fleet.part import FleetPart
+
+    FleetPart._go_by = lambda self, plans, mixed: None
+
+
+FAULTS = {f.__name__: f for f in (gate, licence, eager, backward, figures)}
+
+
+def main() -> None:
+    name, module = sys.argv[1], sys.argv[2]
+    FAULTS[name]()
+    sys.argv = [module, *sys.argv[3:]]
+    runpy.run_module(module, run_name="__main__", alter_sys=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/fennelpoint/standins/process.py
+++ b/fennelpoint/standins/process.py
@@ -37,12 +37,15 @@
         self.arguments = [str(a) for a in arguments]
         self.process: asyncio.subprocess.Process | None = None
         self.off: float | None = None   # s that its wall clock is off
+        self.broken = ""                # by `broken.py`
 
     async def start(self, seconds: float = 30.0) -> str:
         """The line that it says; raises RuntimeError with its complaint where it says none."""
         pipe = asyncio.subprocess.PIPE
         program = ["fennelpoint.cli"] if self.off is None else ["fennelpoint.standins.shifted", str(self.off),
                                                                 "fennelpoint.cli"]
+        if self.broken:
+            program = ["fennelpoint.standins.broken", self.broken, "fennelpoint.cli"]
         with tempfile.TemporaryFile() as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", *program, *self.arguments, stdout=pipe, stderr=log)
@@ -166,6 +169,10 @@
         finally:
             writer.close()
 
+    async def stop_only(self) -> int:
+        """SIGTERM, and wait; its files stay for the next start."""
+        return await ended(self.process)
+
     def reload(self) -> None:
         self.process.send_signal(signal.SIGHUP)
 
--- /dev/null
+++ b/tests/fleet/test_figures.py
@@ -0,0 +1,165 @@
+"""Plans whose figures change under load: in the module, and over several processes through the mixture."""
+
+import asyncio
+import time
+from dataclasses import replace
+
+import pytest
+from conftest import CAPPED, HARD, World, make_settings, wide
+
+from fennelpoint import interface as api
+from fennelpoint.faults import FaultyFile
+from fennelpoint.fleet import contents
+from fennelpoint.fleet.state import LOOSENING, TIGHTENING
+from fennelpoint.standins.observer import faults, passed
+from fennelpoint.standins.rig import Rig, Shape, content_of, figures
+from fennelpoint.standins.world import run
+
+
+def sent(world: World, count: int, **ask) -> int:
+    return sum(isinstance(a, api.Send) for _ in range(count) for a in world.ask(**ask))
+
+
+def test_smaller_figures_hold_at_once_and_larger_ones_give_no_more_than_time_does():
+    world = wide(has_counter=False)
+    plans = list(world.settings.plans)
+    assert sent(world, 1, plan=HARD) == 1
+    smaller = [replace(plan, rate=1.0, burst=2.0) if i == HARD else plan for i, plan in enumerate(plans)]
+    world.give(api.Figures(smaller, 1, True))
+    assert sent(world, 6, plan=HARD) <= 2
+    world.give(api.Figures(plans, 2, False))
+    assert sent(world, 6, plan=HARD) == 0
+    world.wait(1.0)
+    assert 1 <= sent(world, 6, plan=HARD) <= 3     # rate 4 over two ingresses, for a second
+
+
+def test_no_word_of_the_counter_counts_while_figures_are_mixed_and_its_stores_are_kept_apart():
+    world = World(make_settings(ingresses=40, most_units=1.0))
+    world.backends(*(f"s{i}" for i in range(40)))
+    world.ask(plan=CAPPED, width=40.0)
+    (before,) = {call.name for call in world.counts}
+    world.count_replies(totals={})
+    world.counts.clear()
+    world.give(api.Figures(list(world.settings.plans), 7, True))
+    world.ask(plan=CAPPED, width=40.0)
+    assert not [call for call in world.counts if call.amount > 0.5]
+    world.give(api.Figures(list(world.settings.plans), 7, False))
+    world.ask(plan=CAPPED, width=40.0)
+    assert before not in {call.name for call in world.counts} and world.counts
+
+
+def test_what_waits_is_answered_at_once_when_nothing_may_be_sent_and_nothing_is_until_then():
+    world = World(make_settings())
+    assert world.ask() == []       # no backend: it waits
+    (refusal,) = world.give(api.Barred(True))
+    assert isinstance(refusal, api.Refuse) and refusal.retry_after > 0.0
+    world.backends("a", "b")
+    (refusal,) = world.ask()
+    assert isinstance(refusal, api.Refuse) and refusal.retry_after > 0.0
+    assert world.wait(1.0) == []
+    world.give(api.Barred(False))
+    assert any(isinstance(a, api.Send) for a in world.ask())
+
+
+def test_an_attempt_that_fails_while_barred_is_not_tried_again():
+    world = World(make_settings())
+    world.backends("a", "b")
+    (send,) = [a for a in world.ask() if isinstance(a, api.Send)]
+    world.give(api.Barred(True))
+    actions = world.answer(send.request, send.backend, api.Status.CONNECT_FAILED)
+    assert [type(a) for a in actions] == [api.Refuse]
+
+
+# Contents
+
+GOOD = {"plans.toml": '[[plans]]\nname = "hard"\nquota_rate = 4\nstore_size = 8\n'}
+
+
+@pytest.mark.parametrize("files, text", [
+    ({"other.toml": ""}, "other.toml: it is no part of a version"),
+    ({}, "a version holds one file at least"),
+    ({"plans.toml": "[[plans]]\nname = 3\n"}, "plans.toml:2: plans.0.name: 3 is not a text"),
+    ({"plans.toml": "[[plans]]\nquota = 3\n"}, "is quota_rate meant?"),
+    ({"plans.toml": "schema = 1\n"}, "it has no [[plans]]"),
+    ({"plans.toml": '[[plans]]\nname = "a"\n[[plans]]\nname = "a"\n'}, "plans.1.name: 'a' is given twice"),
+    ({"plans.toml": '[[plans]]\nname = "a"\nquota_rate = 1\nstore_size = 0\n'}, "lets nothing in"),
+    ({"cells.toml": "version = 1\n"}, "cells.toml: it has neither"),
+])
+def test_faults_of_a_content_are_named_with_file_line_and_place(files, text):
+    with pytest.raises(FaultyFile) as caught:
+        contents.check(files)
+    assert text in str(caught.value)
+
+
+@pytest.mark.parametrize("data, text", [
+    (b"{}", "is no set of files"), (b"\xff", "is no set of files"), (b"[]", "is no set of files"),
+    (b'{"schema":2,"files":{}}', "schema"), (b'{"schema":1,"files":{"plans.toml":3}}', "is no set of files")])
+def test_a_content_that_is_not_one_is_not_taken(data, text):
+    with pytest.raises(FaultyFile, match=text):
+        contents.unpack(data, contents.digest_of(data))
+    with pytest.raises(FaultyFile, match="not what its digest says"):
+        contents.unpack(data + b" ", contents.digest_of(data))
+
+
+def test_what_a_change_takes_away_makes_it_a_tightening():
+    settings = make_settings().plans
+    old = contents.check(GOOD)
+    for rate, burst, kind in ((4, 8, LOOSENING), (5, 8, LOOSENING), (3, 8, TIGHTENING), (9, 7, TIGHTENING),
+                              (0, 8, LOOSENING)):
+        text = f'[[plans]]\nname = "hard"\nquota_rate = {rate}\nstore_size = {burst}\n'
+        new = contents.check({"plans.toml": text})
+        assert contents.kind(settings, old, new) == kind, (rate, burst)
+        if rate:
+            assert contents.kind(None, old, new) == kind
+    assert contents.kind(settings, old, contents.check({**GOOD, **content_of(1)})) == TIGHTENING
+    assert contents.kind(None, contents.EMPTY, old) == TIGHTENING
+    unknown = contents.check({"plans.toml": '[[plans]]\nname = "none"\nquota_rate = 4\nstore_size = 8\n'})
+    with pytest.raises(FaultyFile, match="the settings have no such plan"):
+        contents.figures(settings, unknown)
+    one, other = contents.figures(settings, old), contents.figures(settings, contents.check(
+        {"plans.toml": '[[plans]]\nname = "hard"\nquota_rate = 2\nstore_size = 20\n'}))
+    least = contents.least(one, other)
+    assert (least[HARD].rate, least[HARD].burst) == (2.0, 8.0)
+
+
+# Processes
+
+def test_a_ceiling_that_is_lowered_is_kept_from_its_force_on_and_the_older_one_until_then():
+    """One agency asks for far more through all ingresses, with cuts and a stopped process about the change."""
+    async def test() -> None:
+        shape = Shape(ingresses=6, quota=(30.0, 30.0), ceiling=(40.0, 40.0, 4.0))
+        async with Rig(shape, 31) as rig:
+            rig.load(30.0, agencies=1, book=0.0)
+            begun = time.monotonic()
+            await asyncio.sleep(2.5)
+            number = await rig.publish(figures(9.0, 6.0, 12.0, 12.0))
+            await asyncio.sleep(0.3)
+            rig.stop("n1")
+            rig.cut("n2", "k0", "k1")
+            await rig.until_forced(number)
+            forced = time.monotonic()
+            rig.go_on("n1")
+            rig.heal()
+            await asyncio.sleep(4.0)
+            slack = 4.0 + 0.15 * 40.0
+            assert passed(rig.seen, 0x100, 40.0, 40.0, begun - 5.0, slack) == []
+            assert passed(rig.seen, 0x100, 12.0, 12.0, forced, 4.0 + 0.15 * 12.0) == []
+            since = [a for a in rig.seen.arrivals if a.at > forced + 1.5]
+            assert len(since) > 10      # and it is served
+            assert faults(rig.seen) == {}
+
+    run(test(), 60.0)
+
+
+def test_a_build_that_does_not_go_by_the_new_figures_is_found():
+    async def test() -> None:
+        shape = Shape(ingresses=6, quota=(30.0, 30.0), ceiling=(40.0, 40.0, 4.0), broken="figures")
+        async with Rig(shape, 31) as rig:
+            rig.load(30.0, agencies=1, book=0.0)
+            await asyncio.sleep(1.0)
+            await rig.until_forced(await rig.publish(figures(9.0, 6.0, 12.0, 12.0)))
+            forced = time.monotonic()
+            await asyncio.sleep(3.0)
+            assert passed(rig.seen, 0x100, 12.0, 12.0, forced, 4.0 + 0.15 * 12.0)
+
+    run(test(), 60.0)
