--- a/fennelpoint/fleet/store.py
+++ b/fennelpoint/fleet/store.py
@@ -8,6 +8,7 @@
 
 import json
 import sqlite3
+from collections.abc import Iterable
 from hashlib import sha256
 from pathlib import Path
 
@@ -65,7 +66,10 @@
             return Keeper(self.name, 0, False, {}, {})
         if about.get("schema") != str(SCHEMA) or about.get("name") != self.name:
             raise BadStore(f"it is of keeper {about.get('name')!r} with schema {about.get('schema')!r}")
-        cells = {key: _cell(value, digest) for key, value, digest in self.db.execute("SELECT * FROM cells")}
+        rows = list(self.db.execute("SELECT key, value, digest FROM cells ORDER BY key"))
+        if about.get("cells") != _sum(rows):
+            raise BadStore("its cells are not those that it had")
+        cells = {key: _cell(value, digest) for key, value, digest in rows}
         return Keeper(self.name, int(about["life"]), True, dict(self.db.execute("SELECT * FROM lives")), cells)
 
     def begin(self, keeper: Keeper) -> None:
@@ -75,6 +79,7 @@
         self._about(keeper)
         for key in keeper.cells:
             self._write(keeper, key)
+        self._seal()
         self.db.execute("COMMIT")
         self.keeper = keeper
 
@@ -98,9 +103,15 @@
             self._about(keeper)
         else:
             self._write(keeper, key)
+            self._seal()
         self.db.execute("COMMIT")
         self.keeper = keeper
 
+    def _seal(self) -> None:
+        """What all cells are, so that one that is missing is missed."""
+        rows = self.db.execute("SELECT key, value, digest FROM cells ORDER BY key")
+        self.db.execute("INSERT OR REPLACE INTO about VALUES ('cells', ?)", (_sum(rows),))
+
     # Contents
 
     def content(self, digest: str) -> bytes | None:
@@ -137,6 +148,10 @@
         self.db.close()
 
 
+def _sum(rows: Iterable[tuple[str, str, str]]) -> str:
+    return _digest(json.dumps([[key, digest] for key, _, digest in rows]))
+
+
 def _digest(text: str) -> str:
     return sha256(text.encode()).hexdigest()
 
--- a/fennelpoint/fleet/wire.py
+++ b/fennelpoint/fleet/wire.py
@@ -96,7 +96,7 @@
         self.number = 0
         self.lock = asyncio.Lock()
 
-    async def call(self, do: str, seconds: float, **fields: object) -> dict:
+    async def call(self, do: str, seconds: float, /, **fields: object) -> dict:
         """The answer; raises CallFailed where none came in time, or it was a refusal."""
         try:
             async with asyncio.timeout(seconds):
@@ -154,7 +154,7 @@
     close = reset
 
 
-async def call_once(address: tuple[str, int], do: str, seconds: float, **fields: object) -> dict:
+async def call_once(address: tuple[str, int], do: str, seconds: float, /, **fields: object) -> dict:
     """One call over a connection of its own."""
     line = Line(*address)
     try:
