--- a/benchmarks/fleet_record.py
+++ b/benchmarks/fleet_record.py
@@ -93,7 +93,8 @@
     print(f"{count} ingresses, simulated 60 s in {time.monotonic() - began:.1f} s: last one acts after "
           f"{statistics.median(lasts):.2f} s (most {max(lasts):.2f}), in force after "
           f"{statistics.median(force):.2f} (most {max(force):.2f}), "
-          f"{made.counts['calls'] / 180.0:.0f} calls a second a keeper, record {len(json.dumps(made.fleet.value()))} bytes, {len(broken)} checks broken")
+          f"{made.counts['calls'] / 180.0:.0f} calls a second a keeper, record "
+          f"{len(json.dumps(made.fleet.value()))} bytes, {len(broken)} checks broken")
 
 
 if __name__ == "__main__":
--- a/fennelpoint/fleet/keeper.py
+++ b/fennelpoint/fleet/keeper.py
@@ -87,7 +87,8 @@
         self.tasks: list[asyncio.Task] = []
         self.calls = {"renew": self.renew, "read": self.read, "publish": self.publish, "step": self.step,
                       "content": self.content, "keep_content": self.keep_content, "words": self.words,
-                      "spans": self.spans, "status": self.status, "glance": self.glance}
+                      "spans": self.spans, "status": self.status, "glance": self.glance, "get": self.get,
+                      "set": self.set}
 
     async def start(self) -> tuple[str, int]:
         at = await self.service.listen(*self.address)
@@ -322,6 +323,18 @@
             self._take(held, begun)
         return {"revision": held.revision, "fleet": held.data}
 
+    async def get(self, call: dict) -> dict:
+        """Any other key of the record, as it was not before this call."""
+        held = await self.register.read(_key(call))
+        return {"revision": held.revision, "data": held.data}
+
+    async def set(self, call: dict) -> dict:
+        """Change it on its revision: the revision that was made, or 0 where another came first."""
+        if len(json.dumps(call["data"])) > MOST_VALUE:
+            raise ValueError(f"the value is larger than {MOST_VALUE} bytes")
+        made = await self.register.change(_key(call), int(call["expect"]), call["data"], str(call["change"]))
+        return {"revision": made or 0}
+
     async def glance(self, call: dict) -> dict:
         held = self.register.glance(state.KEY)
         return {"revision": held.revision, "fleet": held.data, "old": True}
@@ -418,6 +431,14 @@
         return answer
 
 
+def _key(call: Mapping) -> str:
+    """The fleet's own state is changed by its steps alone."""
+    key = str(call["key"])
+    if not key.startswith("x/") or len(key) > 64:
+        raise ValueError(f"{key[:70]!r} is no key of 64 characters at most that begins with x/")
+    return key
+
+
 def _word(fields: Mapping, at: float) -> Word:
     """Raises ValueError, KeyError or TypeError where the fields are not a process's."""
     member = state.Member(int(fields["number"]), str(fields["zone"])[:64], str(fields["address"])[:128])
--- a/fennelpoint/standins/broken.py
+++ b/fennelpoint/standins/broken.py
@@ -52,7 +52,17 @@
     FleetPart._go_by = lambda self, plans, mixed: None
 
 
-FAULTS = {f.__name__: f for f in (gate, licence, eager, backward, figures)}
+def stale() -> None:
+    """A keeper's read is what it has at hand."""
+    from fennelpoint.fleet.agree import EmbeddedRegister
+
+    async def read(self, key):
+        return self.glance(key)
+
+    EmbeddedRegister.read = read
+
+
+FAULTS = {f.__name__: f for f in (gate, licence, eager, backward, figures, stale)}
 
 
 def main() -> None:
--- a/fennelpoint/standins/process.py
+++ b/fennelpoint/standins/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -33,6 +34,11 @@
                 return port
 
 
+def die_with_parent() -> None:
+    """In a process that is about to become another program: it ends when who started it has (Linux's prctl)."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 class Command:
     """`larchwing` with these arguments as a process; it is ready once it has said a line."""
 
@@ -51,7 +57,8 @@
             program = ["fennelpoint.standins.broken", self.broken, "fennelpoint.cli"]
         with tempfile.TemporaryFile() as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", *program, *self.arguments, stdout=pipe, stderr=log)
+                sys.executable, "-m", *program, *self.arguments, stdout=pipe, stderr=log,
+                preexec_fn=die_with_parent)
             line = await asyncio.wait_for(self.process.stdout.readline(), seconds)
             if not line:
                 await self.process.wait()
@@ -132,7 +139,7 @@
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, *self.program, stdout=log, stderr=log, env=env, start_new_session=True,
-                pass_fds=held, cwd=self.tree)
+                pass_fds=held, cwd=self.tree, preexec_fn=die_with_parent)
         for _ in range(int(seconds / 0.05) if wait else 0):
             if self.process.returncode is not None:
                 break
--- a/fennelpoint/standins/rig.py
+++ b/fennelpoint/standins/rig.py
@@ -75,6 +75,8 @@
                     writer.write(ok(fields["x-txn"].encode()))
             except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
                 pass
+            except (ValueError, KeyError):
+                writer.write(ok(b"", "404 Not Found"))      # a stranger's request
             finally:
                 self.writers.discard(writer)
                 writer.close()
@@ -129,6 +131,7 @@
     quota: tuple[float, float] = (RATE, BURST)
     wall_off: tuple[tuple[str, float], ...] = ()        # by process: s that its wall clock is off
     broken: str = ""            # all processes have this fault (`broken.py`)
+    etcd: bool = False          # the record is kept by a stand-in of etcd
     twins: bool = False         # the clients' sockets are held here, and a second process may inherit them
 
 
@@ -151,7 +154,7 @@
         self.tasks: list[asyncio.Task] = []
         self.stopped: set[str] = set()
         self.fleet = Fleet(self.keepers, wait=3.0)
-        self.txn = 0
+        self.txn, self.etcd = 0, None
 
     async def __aenter__(self) -> Rig:
         try:
@@ -163,6 +166,11 @@
 
     async def _start(self) -> None:
         await self.count.start()
+        if self.shape.etcd:
+            from fennelpoint.standins.etcd import Etcd
+
+            self.etcd = Etcd()
+            await self.etcd.start()
         for node in self.nodes:
             for name in self.members:
                 await node.listen_for(name)
@@ -194,6 +202,8 @@
         for node in self.nodes:
             node.stop()
         self.count.stop()
+        if self.etcd is not None:
+            await self.etcd.stop()
         self.folder.cleanup()
 
     async def _end(self, one: Member) -> None:
@@ -221,7 +231,8 @@
                 address = link.address
             named.append("{}={}:{}".format(other, *address))
         (root / "operator.toml").write_text(
-            f'schema = 1\n[keeper]\nkeepers = {json.dumps(named)}\nfolder = "files"\n')
+            f'schema = 1\n[keeper]\nkeepers = {json.dumps(named)}\nfolder = "files"\n'
+            + (f'etcd = "{self.etcd.address}"\n' if self.etcd is not None else ""))
         shape, found = self.shape, []
         if founding:
             found = ["--found", record, "--after", after, "--licence-s", shape.licence_s, "--settle-s",
--- a/tests/fleet/test_keepers_lost.py
+++ b/tests/fleet/test_keepers_lost.py
@@ -137,6 +137,24 @@
     run(test(), 60.0)
 
 
+def test_the_record_by_etcd_silent_for_long_and_with_answers_that_are_lost():
+    async def test() -> None:
+        async with Rig(Shape(ingresses=6, etcd=True), 16) as rig:
+            rig.load(6.0)
+            await rig.until_forced(await rig.publish())
+            rig.etcd.lose_answers = 2
+            await rig.until_forced(await rig.publish())
+            rig.etcd.silent = True
+            await asyncio.sleep(2.5 * L)
+            assert all([await rig.ready(name) for name in rig.members])     # nobody hears more than another
+            rig.etcd.silent = False
+            await rig.until_forced(await rig.publish(), 20.0)
+            await rig.until_acting(rig.members, 3)
+            assert faults(rig.seen) == {}
+
+    run(test(), 60.0)
+
+
 def test_wall_clocks_that_are_off_change_nothing():
     async def test() -> None:
         shape = Shape(ingresses=6, wall_off=(("n0", 5.0), ("n1", -5.0), ("k0", 5.0), ("k1", -30.0)))
