--- a/tests/describing.py
+++ b/tests/describing.py
@@ -38,3 +38,9 @@
     """The routes, shortly."""
     assert not result.faults, "\n".join(map(str, result.faults))
     return [(r.method, r.template.text, r.cls_name, r.units.amount) for r in result.routes]
+
+
+def described_routes(*paths: str) -> str:
+    """A description of look-ups at these paths."""
+    each = "".join(f"  {path}: {{get: {{{ANSWER}}}}}\n" for path in paths)
+    return f"{HEAD}x-larchwing: {{class: look}}\npaths:\n{each}"
--- /dev/null
+++ b/tests/fleet/test_routes_version.py
@@ -0,0 +1,67 @@
+"""A version that holds a description: read by a process of its own, gone over to between two requests, or not."""
+
+import asyncio
+import json
+
+from describing import described_routes
+
+from fennelpoint.fleet.ask import Fleet
+from fennelpoint.standins import SETTINGS, Backend, Count, List, member, read_message
+from fennelpoint.standins.process import Command, IngressProcess, free_port
+from fennelpoint.standins.world import run
+
+
+def test_a_description_comes_with_a_version_and_a_faulty_one_changes_nothing(tmp_path):
+    async def test() -> None:
+        backend, count = Backend(), Count()
+        discovery = List([member("s-0", await backend.start())])
+        port, address = free_port(), free_port()
+        operator, path = tmp_path / "operator.toml", tmp_path / "d.yaml"
+        operator.write_text(f'[keeper]\nkeepers = ["k0=127.0.0.1:{port}"]\nfolder = "files"\n')
+        path.write_text(described_routes("/a"))
+        keeper = Command("fleet", "keep", "k0", "--config", operator, "--found", "r", "--licence-s", 1,
+                         "--settle-s", 1)
+        await keeper.start()
+        ingress = IngressProcess(SETTINGS, await discovery.start(), await count.start(), path)
+        ingress.add_section(f'[fleet]\nkeepers = ["k0=127.0.0.1:{port}"]\nlisten = "127.0.0.1:{address}"\n'
+                            f"folder = {json.dumps(str(tmp_path / 'state'))}\n")
+        fleet = Fleet({"k0": ("127.0.0.1", port)})
+        try:
+            await ingress.start()
+
+            async def status(target: str) -> str:
+                reader, writer = await asyncio.open_connection(*ingress.address)
+                writer.write((f"GET {target} HTTP/1.1\r\nHost: a\r\nX-Txn: {id(writer)}{target}\r\n"
+                              "Api-Plan: basic\r\nCookie: account=0000000000000001\r\n"
+                              "X-Remaining-Ms: 1500\r\n\r\n").encode())
+                first, _, _ = await read_message(reader)
+                writer.close()
+                return first.split()[1]
+
+            async def settled(number: int):
+                for _ in range(300):
+                    told = (await fleet.view()).fleet
+                    if told.coming is None and told.last == number:
+                        return told
+                    await asyncio.sleep(0.05)
+                raise AssertionError(told)
+
+            async def publish(text: str, why: str) -> None:
+                await fleet.change("publish", files={"openapi.yaml": text}, who="t", why=why, kind="")
+
+            assert [await status("/a"), await status("/b")] == ["200", "404"]
+            await publish(described_routes("/b"), "b in place of a")
+            assert (await settled(1)).version.number == 1
+            assert [await status("/a"), await status("/b")] == ["404", "200"]
+            ingress.reload()    # its own file does not count now
+            await publish("openapi: 3.1.0\npaths: 3\n", "faulty")
+            told = await settled(2)
+            assert told.version.number == 1 and "halted" in told.history[-1].state
+            assert [await status("/a"), await status("/b")] == ["404", "200"]
+        finally:
+            await ingress.stop()
+            await keeper.stop()
+            for fake in (backend, count, discovery):
+                fake.stop()
+
+    run(test(), 60.0)
