--- a/benchmarks/fleet_record.py
+++ b/benchmarks/fleet_record.py
@@ -3,7 +3,7 @@
 `--cpu`: CPU of one request with the fleet part on, beside off, in the same rounds.  `--processes`: so many real
 ingresses, how long they take to start and a version to be in force.  `--world`: so many in simulated time, the
 real deciders: time from the offer until the last one acts on a version and until it is in force, messages a second
-that a keeper gets, size of the record.
+that a keeper gets, size of the record.  `--audit`: its answers for so many requests beside what nodes saw.
 """
 
 from __future__ import annotations
@@ -21,6 +21,7 @@
 from describing import paths
 from ingress import QUOTAS, cpu_seconds, fast, load, templates
 
+from fennelpoint.fleet.audit import at_time
 from fennelpoint.standins import SETTINGS, Count, List, member
 from fennelpoint.standins.fleet_world import FleetWorld
 from fennelpoint.standins.fleet_world import Settings as WorldSettings
@@ -82,6 +83,30 @@
         print(f"record of {len(json.dumps(view.fleet.value()))} bytes")
 
 
+async def against_the_observer(requests: int) -> None:
+    """The audit's answer for so many requests that nodes saw, without kills."""
+    async with Rig(Shape(ingresses=6, wall_off=(("n1", 5.0), ("n2", -5.0))), 1) as rig:
+        rig.load(100.0)
+        offset, version = time.time() - time.monotonic(), 0
+        while len(rig.seen.arrivals) < requests + 1000:
+            version = await rig.publish()
+            await rig.until_forced(version)
+            await asyncio.sleep(1.5)
+            if version == 2:
+                rig.cut_off("n3")
+                await asyncio.sleep(1.5)
+                rig.heal()
+        await asyncio.sleep(1.5)
+        spans = await rig.fleet.spans()
+        wrong = unknown = 0
+        for arrival in rig.seen.arrivals[:requests]:
+            answer = at_time(spans, arrival.ingress, (arrival.at + offset, arrival.at + offset))
+            unknown += not answer.sure
+            wrong += rig.seen.version(arrival) not in answer.versions and not answer.unknown
+        print(f"audit: {requests} requests over {version} versions, one ingress shut out: {wrong} wrong, {unknown} "
+              f"not sure ({unknown / requests:.2%}), {len(spans)} spans")
+
+
 def world(count: int) -> None:
     settings = WorldSettings(ingresses=count, seconds=60.0, versions=5, faults=0, licence_s=3.0, settle_s=5.0,
                              sends=0.5, bad_contents=0.0, lose=0.005)
@@ -103,11 +128,14 @@
     parser.add_argument("--rounds", type=int, default=8)
     parser.add_argument("--seconds", type=float, default=2.0)
     parser.add_argument("--processes", type=int, default=0)
+    parser.add_argument("--audit", type=int, default=0)
     parser.add_argument("--world", type=int, nargs="*", default=[])
     given = parser.parse_args()
     for size in given.world:
         world(size)
     if given.processes:
         asyncio.run(processes(given.processes))
+    if given.audit:
+        asyncio.run(against_the_observer(given.audit))
     if given.cpu:
         asyncio.run(cpu(given.rounds, given.seconds))
--- a/fennelpoint/cli_fleet.py
+++ b/fennelpoint/cli_fleet.py
@@ -204,7 +204,7 @@
     if when is None and version is None and ingress is None:
         raise click.UsageError("one of --at, --version and --ingress tells what is asked")
     made = _keepers(operator_file)
-    spans = _run(made.spans(ingress))
+    spans, rolled = _run(made.record(ingress))
     if when is not None:
         moment = _time(when)
         if agency is not None:
@@ -217,6 +217,7 @@
             answers = audit.of_set(spans, int(first), int(width), ring, moment)
         else:
             answers = [audit.at_time(spans, name, moment) for name in sorted({s.ingress for s in spans})]
+        answers = [(audit.rolled_at(rolled, a.ingress, moment) or a) if a.unknown else a for a in answers]
         if as_json:
             click.echo(json.dumps([{"ingress": a.ingress, "versions": a.versions, "unknown": a.unknown,
                                     "sure": a.sure} for a in answers], indent=2))
--- a/fennelpoint/fleet/ask.py
+++ b/fennelpoint/fleet/ask.py
@@ -70,12 +70,25 @@
 
     async def spans(self, ingress: str | None = None) -> list[audit.Span]:
         """What all keepers that answer have on record; raises CallFailed where none does."""
+        return (await self.record(ingress))[0]
+
+    async def record(self, ingress: str | None = None) -> tuple[list[audit.Span], list[audit.Rolled]]:
+        """The same, and what is rolled up."""
         answers = await asyncio.gather(*(call_once(a, "spans", self.wait, ingress=ingress)
                                          for a in self.keepers.values()), return_exceptions=True)
         good = [a for a in answers if not isinstance(a, BaseException)]
         if not good:
             raise CallFailed(f"no keeper answers: {answers[0] if answers else 'none is named'}")
-        return audit.newest(audit.span_of(value) for answer in good for value in answer["spans"])
+        rolled: dict[tuple[str, int], audit.Rolled] = {}
+        for answer in good:
+            for row in answer.get("rolled", ()):
+                one = audit.Rolled(**{**row, "first": tuple(row["first"]), "last": tuple(row["last"])})
+                old = rolled.get((one.ingress, one.version), one)
+                rolled[one.ingress, one.version] = audit.Rolled(
+                    one.ingress, one.version, min(old.first, one.first), max(old.last, one.last),
+                    max(old.spans, one.spans))
+        return (audit.newest(audit.span_of(value) for answer in good for value in answer["spans"]),
+                list(rolled.values()))
 
 
 def _final(error: str) -> bool:
--- a/fennelpoint/fleet/audit.py
+++ b/fennelpoint/fleet/audit.py
@@ -144,6 +144,37 @@
     return sorted(best.values(), key=lambda s: (s.begin, s.ingress, s.life, s.seq))
 
 
+@dataclass(frozen=True, slots=True)
+class Rolled:
+    """Many old spans of one ingress by one version: between these moments it acted on it, now and then."""
+
+    ingress: str
+    version: int
+    first: Moment
+    last: Moment
+    spans: int
+
+
+def roll(spans: Iterable[Span], before: Iterable[Rolled] = ()) -> list[Rolled]:
+    """Spans that make room, added to what was rolled up before."""
+    out = {(r.ingress, r.version): r for r in before}
+    for span in spans:
+        end, old = span.end or span.mark, out.get((span.ingress, span.version))
+        old = old or Rolled(span.ingress, span.version, span.begin, end, 0)
+        out[span.ingress, span.version] = replace(old, first=min(old.first, span.begin), last=max(old.last, end),
+                                                  spans=old.spans + 1)
+    return sorted(out.values(), key=lambda r: (r.ingress, r.version))
+
+
+def rolled_at(rolled: Iterable[Rolled], ingress: str, when: Moment) -> Answer | None:
+    """What a rolled-up time tells: versions that it may have acted on, never more; none where it tells nothing."""
+    inside = [r for r in rolled if r.ingress == ingress and r.first[0] <= when[1] and when[0] <= r.last[1]]
+    if not inside:
+        return None
+    count = sum(r.spans for r in inside)
+    return Answer(ingress, tuple(sorted(r.version for r in inside)), f"{count} old spans are rolled up")
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """What may have been acted on: `versions` by processes that may have been at it then; `unknown` tells why
--- a/fennelpoint/fleet/keeper.py
+++ b/fennelpoint/fleet/keeper.py
@@ -30,7 +30,7 @@
     encode_answer,
 )
 from fennelpoint.fleet.conduct import Conductor, Step, Word
-from fennelpoint.fleet.register import majority
+from fennelpoint.fleet.register import Keeper, majority
 from fennelpoint.fleet.store import Store
 from fennelpoint.fleet.wire import CallFailed, Line, Service, call_once
 from fennelpoint.operator import Keeper as Section
@@ -73,6 +73,8 @@
         self.store = Store(Path(section.folder), name)
         self.embedded = EmbeddedRegister(self.store, peers) if register is None else None
         self.register: Register = register or self.embedded
+        if register is not None and not self.store.keeper.life:
+            self.store.begin(Keeper(name, 1, True, {}, {}))     # it holds contents and spans only
         self.peers = peers
         self.conductor = Conductor()
         self.base: Base | None = None
@@ -342,7 +344,8 @@
     async def spans(self, call: dict) -> dict:
         ingress = call.get("ingress")
         self._flush(steady())
-        return {"keeper": self.name, "spans": [json.loads(text) for text in self.store.spans(ingress)]}
+        return {"keeper": self.name, "spans": [json.loads(text) for text in self.store.spans(ingress)],
+                "rolled": self.store.rolled(ingress)}
 
     async def publish(self, call: dict) -> dict:
         """Check a content, put it where a majority of keepers has it, offer it as the next version."""
--- a/fennelpoint/fleet/store.py
+++ b/fennelpoint/fleet/store.py
@@ -9,9 +9,11 @@
 import json
 import sqlite3
 from collections.abc import Iterable
+from dataclasses import asdict
 from hashlib import sha256
 from pathlib import Path
 
+from fennelpoint.fleet.audit import Rolled, roll, span_of
 from fennelpoint.fleet.register import Cell, Keeper
 from fennelpoint.notice import log
 
@@ -24,9 +26,12 @@
 CREATE TABLE IF NOT EXISTS spans (
     ingress TEXT NOT NULL, life TEXT NOT NULL, seq INTEGER NOT NULL, span TEXT NOT NULL,
     PRIMARY KEY (ingress, life, seq)) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS rolled (
+    ingress TEXT NOT NULL, version INTEGER NOT NULL, row TEXT NOT NULL,
+    PRIMARY KEY (ingress, version)) WITHOUT ROWID;
 """
 MOST_CONTENTS = 64
-MOST_SPANS = 10_000     # of an ingress; the oldest make room
+MOST_SPANS = 10_000     # of an ingress; past that the oldest half is rolled up
 
 
 class BadStore(Exception):
@@ -58,10 +63,11 @@
         self.db.execute("PRAGMA journal_mode=WAL")
         if not fresh and [row[0] for row in self.db.execute("PRAGMA quick_check")] != ["ok"]:
             raise BadStore("it is torn")
+        ours = fresh or self.db.execute("SELECT COUNT(*) FROM sqlite_master WHERE name = 'about'").fetchone()[0]
         self.db.executescript(TABLES)
         about = dict(self.db.execute("SELECT key, value FROM about"))
         if not about:
-            if not fresh:
+            if not ours or self.db.execute("SELECT COUNT(*) FROM cells").fetchone()[0]:
                 raise BadStore("it is no keeper's")
             return Keeper(self.name, 0, False, {}, {})
         if about.get("schema") != str(SCHEMA) or about.get("name") != self.name:
@@ -135,11 +141,25 @@
         for ingress in {key[0] for key in spans}:
             (count,) = self.db.execute("SELECT COUNT(*) FROM spans WHERE ingress = ?", (ingress,)).fetchone()
             if count > MOST_SPANS:
-                self.db.execute("DELETE FROM spans WHERE ingress = ?1 AND (life, seq) IN (SELECT life, seq FROM "
-                                "spans WHERE ingress = ?1 ORDER BY json_extract(span, '$.begin[0]') LIMIT ?2)",
-                                (ingress, count - MOST_SPANS))
+                self._roll(ingress, count - MOST_SPANS // 2)
         self.db.execute("COMMIT")
 
+    def _roll(self, ingress: str, count: int) -> None:
+        """The oldest spans of an ingress become a row a version."""
+        rows = list(self.db.execute("SELECT life, seq, span FROM spans WHERE ingress = ? "
+                                    "ORDER BY json_extract(span, '$.begin[0]') LIMIT ?", (ingress, count)))
+        before = [Rolled(**_moments(json.loads(row[0]))) for row in self.db.execute(
+            "SELECT row FROM rolled WHERE ingress = ?", (ingress,))]
+        for row in roll([span_of(json.loads(text)) for _, _, text in rows], before):
+            self.db.execute("INSERT OR REPLACE INTO rolled VALUES (?, ?, ?)",
+                            (ingress, row.version, json.dumps(asdict(row))))
+        self.db.executemany("DELETE FROM spans WHERE ingress = ? AND life = ? AND seq = ?",
+                            [(ingress, life, seq) for life, seq, _ in rows])
+
+    def rolled(self, ingress: str | None = None) -> list[dict]:
+        where, values = ("WHERE ingress = ?", (ingress,)) if ingress is not None else ("", ())
+        return [json.loads(row[0]) for row in self.db.execute(f"SELECT row FROM rolled {where}", values)]
+
     def spans(self, ingress: str | None = None) -> list[str]:
         where, values = ("WHERE ingress = ?", (ingress,)) if ingress is not None else ("", ())
         return [row[0] for row in self.db.execute(f"SELECT span FROM spans {where}", values)]
@@ -148,6 +168,10 @@
         self.db.close()
 
 
+def _moments(row: dict) -> dict:
+    return {**row, "first": tuple(row["first"]), "last": tuple(row["last"])}
+
+
 def _sum(rows: Iterable[tuple[str, str, str]]) -> str:
     return _digest(json.dumps([[key, digest] for key, _, digest in rows]))
 
--- a/tests/fleet/test_audit.py
+++ b/tests/fleet/test_audit.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelpoint.fleet import audit
+from fennelpoint.fleet import audit, store
 from fennelpoint.fleet.audit import OUT, Book, FleetTime, Span, at_time, newest
 from fennelpoint.fleet.ring import Ring
 from fennelpoint.standins.observer import faults
@@ -76,6 +76,28 @@
     assert "spans 9 to 9" in at_time(some, "n0", moment(8.5)).unknown
 
 
+def test_old_spans_are_rolled_up_and_tell_what_may_have_been(tmp_path, monkeypatch):
+    monkeypatch.setattr(store, "MOST_SPANS", 20)
+    kept = store.Store(tmp_path, "k0")
+    book = Book("n0", "a", 0, "z0")
+    for at in range(50):
+        book.turn(at // 10, "why", moment(float(at)))
+        kept.add_spans({("n0", "a", s.seq): json.dumps(s.value()) for s in book.due("k0")})
+        book.took("k0", book.due("k0"))
+    spans = [audit.span_of(json.loads(text)) for text in kept.spans("n0")]
+    kept_rows = kept.rolled("n0")
+    rolled = [audit.Rolled(**{**row, "first": tuple(row["first"]), "last": tuple(row["last"])})
+              for row in kept_rows]
+    assert len(spans) <= 20 and sum(row.spans for row in rolled) + len(spans) == 50
+    assert at_time(spans, "n0", moment(48.5)).versions == (4,)
+    old = audit.rolled_at(rolled, "n0", moment(5.5))
+    assert old.versions == (0,) and not old.sure and "rolled up" in old.unknown
+    assert audit.rolled_at(rolled, "n0", moment(48.5)) is None
+    assert audit.rolled_at(rolled, "n1", moment(5.5)) is None
+    kept.close()
+    assert store.Store(tmp_path, "k0").rolled() == kept_rows
+
+
 def test_a_book_sends_each_keeper_what_that_has_not():
     book = Book("n0", "a", 0, "z0")
     book.turn(1, "why", moment(1.0))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -115,8 +115,9 @@
     code = ("import sys, fennelpoint.__main__\n"
             "parts = ('fennelpoint.routes', 'fennelpoint.operator', 'fennelpoint.net.routed',\n"
             "         'fennelpoint.standins', 'fennelpoint.cli', 'fennelpoint.xds', 'fennelpoint.bgp',\n"
-            "         'fennelpoint.net.beat')\n"
-            "libraries = ('yaml', 'jsonschema_rs', 'openapi_spec_validator', 'click', 'tomllib', 'grpc')\n"
+            "         'fennelpoint.net.beat', 'fennelpoint.fleet', 'fennelpoint.net.twins')\n"
+            "libraries = ('yaml', 'jsonschema_rs', 'openapi_spec_validator', 'click', 'tomllib', 'grpc',\n"
+            "             'structlog', 'aetcd', 'sqlite3')\n"
             "print([m for m in sys.modules if m.startswith(parts) or m.split('.')[0] in libraries])\n")
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60)
     assert done.stdout.strip() == "[]", done.stderr
