Fleet: a content that can't be had is asked for again after a while

Cause, by reading: an exception while a content was fetched left Licence.fetching set, so that nothing was fetched any more (part.py _fetch); a fetch that failed was begun anew at each look; the gate's shut-out in a process that had stopped was an illegal move of the life-cycle. None was seen to happen.

Change: whatever goes wrong is one fault, told after half a second, then it is asked for again; stopped processes take bar and admit without a move.

The exception itself has no test in this commit.

--- a/fennelpoint/fleet/part.py
+++ b/fennelpoint/fleet/part.py
@@ -38,6 +38,7 @@
 FIRST = 0.3         # s between calls until a licence's life is known; then a quarter of that
 SUSPECT = 2.0       # s that a keeper which did not answer is asked after the others
 MARK = 0.5          # s between two marks of the audit: what a kill may lose of it
+REFETCH = 0.5       # s until a content that could not be had is asked for again
 MOST_PEERS = 64     # calls to peers at a time
 TELL = 1            # peers that are behind, told at a time
 log = structlog.get_logger("larchwing.fleet")
@@ -327,7 +328,17 @@
             pass
 
     async def _fetch(self, digest: str) -> None:
-        """A content from any keeper, else from any peer; checked whole."""
+        """A content, or why there is none: then it is asked for again after a while."""
+        try:
+            fault = await self._get(digest)
+        except Exception as error:  # guards the version that is coming: a fetch that is lost would end it here
+            fault = repr(error)
+        if fault:
+            await asyncio.sleep(REFETCH)
+            self._do(self.licence.failed(digest, fault, steady()))
+
+    async def _get(self, digest: str) -> str:
+        """From any keeper, else from any peer; checked whole.  Empty once it is at hand."""
         data = self._on_disk(digest)
         lines = [*self.keepers.values(), *random.sample(list(self._peer_lines().values()), len(self.peers))]
         fault = "nobody who was asked has it"
@@ -339,17 +350,15 @@
             except (CallFailed, ValueError, KeyError, TypeError) as error:
                 fault = str(error)
         if data is None:
-            self._do(self.licence.failed(digest, fault, steady()))
-            return
+            return fault
         table = None
         try:
             content = contents.unpack(data, digest)
             if content.routes:
                 table = await self._read_routes(content)
         except FaultyFile as error:
-            self._do(self.licence.failed(digest, str(error.faults[0]), steady()))
-            return
-        self._take_data(digest, data, table)
+            return str(error.faults[0])
+        return self._take_data(digest, data, table)
 
     async def _read_routes(self, content: contents.Content) -> RouteTable:
         """The description, read by a process of its own; raises FaultyFile."""
@@ -380,25 +389,25 @@
             await asyncio.sleep(0)
         return table
 
-    def _take_data(self, digest: str, data: bytes | None, table: RouteTable | None = None) -> None:
-        """A content that may be gone over to; a fault is told, and nothing changes."""
+    def _take_data(self, digest: str, data: bytes | None, table: RouteTable | None = None) -> str:
+        """A content that may be gone over to; what is wrong with it, and nothing changes."""
         if data is None:
-            return
+            return "it is not on disk"
         try:
             content = contents.unpack(data, digest)
             if content.cells is not None and self.cells is None:
                 raise FaultyFile([Fault(contents.CELLS, 0, "", "cells are off here: the operator file has none")])
             if content.routes and table is None:
-                return      # from disk: read by the usual way once it is wanted
+                return ""   # from disk: read by the usual way once it is wanted
             plans = contents.figures(self.own_plans, content)
         except FaultyFile as error:
-            self._do(self.licence.failed(digest, str(error.faults[0]), steady()))
-            return
+            return str(error.faults[0])
         self.ready[digest] = Ready(content, data, plans, table)
         if self.folder is not None:
             self._write(self.folder / "contents" / digest, data)
         self._do(self.licence.prepared(digest, steady()))
         self.soon.set()
+        return ""
 
     # Carrying out
 
--- a/fennelpoint/lifecycle.py
+++ b/fennelpoint/lifecycle.py
@@ -66,7 +66,8 @@
     (P.DRAINING, E.RESUME): P.SERVING, (P.DRAINED, E.RESUME): P.SERVING,
     (P.DRAINING, E.EMPTIED): P.DRAINED, (P.DRAINED, E.EMPTIED): P.DRAINED,
     (P.SERVING, E.BAR): P.SHUT, (P.SHUT, E.ADMIT): P.SERVING, (P.SERVING, E.ADMIT): P.SERVING,
-    **{(p, e): p for p in (P.STARTING, P.DRAINING, P.DRAINED, P.STOPPING, P.LEAVING) for e in (E.BAR, E.ADMIT)},
+    **{(p, e): p for p in (P.STARTING, P.DRAINING, P.DRAINED, P.STOPPING, P.LEAVING, P.STOPPED)
+       for e in (E.BAR, E.ADMIT)},
     (P.SHUT, E.BAR): P.SHUT, (P.SHUT, E.LISTED): P.SERVING, (P.SHUT, E.DRAIN): P.DRAINING,
     (P.SHUT, E.RESUME): P.SERVING,      # which it is only once it is admitted
     **{(p, E.TERM): P.STOPPING for p in (P.STARTING, P.SERVING, P.DRAINING, P.DRAINED, P.SHUT, P.STOPPING)},
