--- a/fennelpoint/standins/process.py
+++ b/fennelpoint/standins/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import ctypes
+import fcntl
 import json
 import os
 import random
@@ -17,7 +18,20 @@
 
 
 PORTS = range(12_000, 32_000)   # under those that the system gives to connections by itself
-_given: set[int] = set()        # by this process: whoever asked for one may not listen yet
+_given: dict[int, int] = {}     # by this process: whoever asked for one may not listen yet; locks on their files
+
+
+def _lock(port: int) -> int | None:
+    """A lock that other processes which look for ports see; none where one of them has it.  It ends with us."""
+    folder = Path(tempfile.gettempdir()) / "larchwing-ports"
+    folder.mkdir(exist_ok=True)
+    file = os.open(folder / str(port), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o666)
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        return file
+    except OSError:
+        os.close(file)
+        return None
 
 
 def free_port() -> int:
@@ -29,9 +43,9 @@
                 probe.bind(("127.0.0.1", port := draw.choice(PORTS)))
             except OSError:
                 continue
-            if port not in _given:
-                _given.add(port)
-                return port
+        if port not in _given and (lock := _lock(port)) is not None:
+            _given[port] = lock
+            return port
 
 
 def die_with_parent() -> None:
