--- a/fennelpoint/fleet/part.py
+++ b/fennelpoint/fleet/part.py
@@ -181,7 +181,7 @@
         except OSError:
             return None
 
-    def _write(self, path: Path, data: bytes) -> None:
+    def _write(self, path: Path, data: bytes) -> bool:
         """Whole or not at all; a full disk is told, and changes nothing.
 
         Not synced: this is for a process that is killed.  After a crash of the machine nothing rests on it, as
@@ -192,8 +192,10 @@
             with draft.open("wb") as file:
                 file.write(data)
             draft.rename(path)
+            return True
         except OSError as error:
             log.error("not written", ingress=self.name, file=str(path), why=error.strerror)
+            return False
 
     def _keep_state(self) -> None:
         if self.folder is not None and self.licence.fleet is not None:
@@ -202,7 +204,9 @@
                                "revision": licence.revision,
                                "digest": licence.digest, "fleet": licence.fleet.value()}).encode()
             self.kept = self.licence.revision
-            self._write(self.folder / f"{self.name}.state", b"%08x %b" % (crc32(text), text))
+            path = self.folder / f"{self.name}.state"
+            if not self._write(path, b"%08x %b" % (crc32(text), text)):
+                _quietly(path.unlink)   # what is older than our word must not be gone by after a restart
 
     # Asking
 
--- a/fennelpoint/standins/fleet_world.py
+++ b/fennelpoint/standins/fleet_world.py
@@ -35,6 +35,7 @@
     sends: float = 8.0          # a second at each ingress
     delay_s: float = 0.01       # of a message, in the mean
     lose: float = 0.01          # of messages
+    late: float = 0.0           # share of the ingresses that begin in the middle of it
     disks: bool = True          # what an ingress knows outlives it
     bad_contents: float = 0.1   # of versions, that some ingress can't take in
     bounds: dict = field(default_factory=dict)
@@ -115,6 +116,9 @@
         for node in self.ingresses.values():
             self.later(self.draw.uniform(0.0, 0.3), self._renew, node, node.life)
             self.later(self.draw.uniform(0.0, 1.0), self._send, node)
+        for node in self.draw.sample(list(self.ingresses.values()), int(s.late * len(self.ingresses))):
+            node.down = True
+            self.later(self.draw.uniform(1.0, s.seconds / 2), self._back, node, False)
         for i in range(s.versions):
             self.later(3.0 + (s.seconds - 8.0) * i / s.versions, self._publish)
         for _ in range(s.faults):
--- a/tests/fleet/test_fleet_world.py
+++ b/tests/fleet/test_fleet_world.py
@@ -12,7 +12,7 @@
 
 def play(seed: int, **changes) -> FleetWorld:
     values = {"ingresses": (3, 5, 9, 12)[seed % 4], "faults": (0, 4, 12, 25)[seed // 4 % 4],
-              "keepers": (3, 5)[seed // 16 % 2], "versions": 8, **changes}
+              "keepers": (3, 5)[seed // 16 % 2], "versions": 8, "late": (0.0, 0.4)[seed // 32 % 2], **changes}
     world = FleetWorld(Settings(**values), seed)
     world.run()
     return world
