--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -581,17 +581,21 @@
             if not t.reached:   # what never came took nothing: it draws again when it is sent again
                 t.customer.ceiling, t.drawn = t.customer.ceiling + t.drawn, 0.0
             t.not_before = now + PAUSE_FULL * t.attempts * (o.status in (api.Status.FULL, api.Status.MOOT))
-            again = t.ran_at is not None  # as time, effect and a budget against retry storms allow
-            barred = o.status is api.Status.TIMEOUT or self.retries < 1.0 or not self._allowed(t, now)
-            if t.attempts >= self.settings.max_attempts or now >= t.ends or t.spent or again and barred or (
-                    self.barred):
+            if self.barred or t.spent or now >= t.ends or not self._again(t, o, now):
                 self._refuse(t, now, 0.0)
-            else:
-                self.retries -= again
-                if now < t.not_before or not self._place(t, now):
-                    self._hold(t, now)
+            elif now < t.not_before or not self._place(t, now):
+                self._hold(t, now)
         self._pump(now)
 
+    def _again(self, t: Try, o: api.Outcome, now: float) -> bool:
+        """Whether it may be sent once more, as effect and a budget against retry storms allow; takes of that."""
+        again = t.ran_at is not None
+        barred = o.status is api.Status.TIMEOUT or self.retries < 1.0 or not self._allowed(t, now)
+        if t.attempts >= (t.ask.attempts or self.settings.max_attempts) or again and barred:
+            return False
+        self.retries -= again
+        return True
+
     def _roster(self, roster: api.Roster, now: float) -> None:
         if roster.kind is api.RosterKind.FAILED:
             return self.out.append(api.Subscribe())
--- a/fennelpoint/fleet/register.py
+++ b/fennelpoint/fleet/register.py
@@ -134,6 +134,14 @@
     return keepers // 2 + 1
 
 
+Groups = tuple[frozenset[str], ...]     # keepers by name; a quorum is a majority of each
+
+
+def holds(names: frozenset[str], groups: Groups) -> bool:
+    """Whether these names are a majority of each group."""
+    return all(len(names & group) >= majority(len(group)) for group in groups)
+
+
 @dataclass(frozen=True, slots=True)
 class Round:
     """One proposer's round over a key: prepare, change, accept.  Each answer makes another round.
@@ -151,6 +159,18 @@
     refused: frozenset[str] = frozenset()
     highest: Ballot = ZERO      # seen in refusals: the next round goes above it
     unread: bool = False        # the change itself could not be reckoned
+    groups: Groups = ()         # where members change: who must be asked by what is known; none: `keepers` of them
+    groups_of: Callable[[object], Groups] | None = None     # whose majorities a value needs
+
+    def _enough(self, names: frozenset[str], groups: Groups | None = None) -> bool:
+        if self.groups_of is None:
+            return len(names) >= majority(self.keepers)
+        return holds(names, self.groups if groups is None else groups)
+
+    @property
+    def whom(self) -> frozenset[str]:
+        """Whom the prepare goes to, where members change."""
+        return frozenset().union(*self.groups)
 
     @property
     def first(self) -> Prepare:
@@ -158,12 +178,16 @@
 
     @property
     def done(self) -> bool:
-        return len(self.votes) >= majority(self.keepers)
+        return self._enough(self.votes) and self.sent is not None
 
     @property
     def lost(self) -> bool:
         """No majority can be had any more in this round."""
-        return not self.done and len(self.refused) > self.keepers - majority(self.keepers)
+        if self.done:
+            return False
+        if self.groups_of is None:
+            return len(self.refused) > self.keepers - majority(self.keepers)
+        return any(len(self.refused & g) > len(g) - majority(len(g)) for g in self.groups)
 
     @property
     def asks(self) -> frozenset[str]:
@@ -183,11 +207,19 @@
             if self.sent is not None or answer.promised != self.ballot or answer.name in self.asks:
                 return self
             made = replace(self, promises=(*self.promises, answer))
-            if len(made.promises) < majority(self.keepers):
+            if not made._enough(made.asks):
                 return made
             newest = max(made.promises, key=lambda seen: seen.accepted)
+            value = self.change(newest.value)
+            if self.groups_of is not None:
+                # Guards a change of members: the value that is there and the one to be each name their own, and
+                # whoever went by an older list learns here that it is one.
+                groups = (*self.groups, *self.groups_of(newest.value), *self.groups_of(value))
+                made = replace(made, groups=tuple(dict.fromkeys(groups)))
+                if not made._enough(made.asks):
+                    return made
             lives = tuple(sorted((seen.name, seen.life) for seen in made.promises))
-            return replace(made, sent=Accept(self.key, self.ballot, self.change(newest.value), lives))
+            return replace(made, sent=Accept(self.key, self.ballot, value, lives))
         if self.sent is None or answer.promised != self.ballot or (
                 (answer.name, answer.life) not in self.sent.lives):
             return self
@@ -219,6 +251,19 @@
     asked: Mapping[str, Known]      # answers to Hello with life 0
     life: int = 0
     told: Mapping[str, Known] | None = None     # answers to Hello with the new life
+    groups: Groups = ()         # where members change: by what is known without asking
+    groups_of: Callable[[object], Groups] | None = None
+
+    def _enough(self, heard: Mapping[str, Known]) -> bool:
+        if self.groups_of is None:
+            return len(heard) >= majority(self.keepers)
+        cells = [cell for known in heard.values() for _, cell in known.cells]
+        newest = max(cells, key=lambda cell: cell.accepted, default=Cell())
+        for group in (*self.groups, *self.groups_of(newest.value)):
+            # With its own lost vote in a majority, there are one fewer others in that: one more is to be heard.
+            if len(group & heard.keys() - {self.name}) < majority(len(group)):
+                return False
+        return True
 
     @property
     def message(self) -> Hello:
@@ -231,7 +276,7 @@
             knows = dict(answer.lives).get(self.name, 0) == self.life
             return replace(self, told={**self.told, answer.name: answer}) if knows else self
         made = replace(self, asked={**self.asked, answer.name: answer})
-        if len(made.asked) < majority(self.keepers):
+        if not self._enough(made.asked):
             return made
         # Every keeper's first life is 1, and nobody was told of it.
         newest = max(dict(known.lives).get(self.name, 1) for known in made.asked.values())
@@ -240,7 +285,7 @@
     @property
     def keeper(self) -> Keeper | None:
         """The keeper as it votes again; none as long as too few have answered."""
-        if self.told is None or len(self.told) < majority(self.keepers):
+        if self.told is None or not self._enough(self.told):
             return None
         cells: dict[str, Cell] = {}
         lives: dict[str, int] = {}
--- a/fennelpoint/fleet/store.py
+++ b/fennelpoint/fleet/store.py
@@ -41,8 +41,9 @@
 class Store:
     """One keeper's file in a folder.  `votes` is whether what it holds may be voted by."""
 
-    def __init__(self, folder: Path, name: str) -> None:
-        """Raises OSError where the folder can't be written to."""
+    def __init__(self, folder: Path, name: str, alone: bool = False) -> None:
+        """Raises OSError where the folder can't be written to; `alone`: no other process may read along."""
+        self.alone = alone
         folder.mkdir(parents=True, exist_ok=True)
         self.path, self.name = folder / f"{name}.keeper", name
         try:
@@ -60,6 +61,8 @@
         fresh = not self.path.exists()
         self.db = sqlite3.connect(self.path, isolation_level=None, check_same_thread=False)
         self.db.execute("PRAGMA synchronous=FULL")
+        if self.alone:  # then no memory is shared for the journal
+            self.db.execute("PRAGMA locking_mode=EXCLUSIVE")
         self.db.execute("PRAGMA journal_mode=WAL")
         if not fresh and [row[0] for row in self.db.execute("PRAGMA quick_check")] != ["ok"]:
             raise BadStore("it is torn")
--- a/fennelpoint/interface.py
+++ b/fennelpoint/interface.py
@@ -39,11 +39,12 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
+    ELSEWHERE = "elsewhere"     # another backend answered at its address, and has not run it
 
     @property
     def never_ran(self) -> bool:
         """Whether this outcome proves that the attempt had no effect."""
-        return self in (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
+        return self in (Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.ELSEWHERE)
 
 
 class BackendState(Enum):
@@ -183,6 +184,7 @@
     is_write: bool = False
     coming: float = 0.0     # s until its last byte should have come; its times count from there
     cell: str = ""          # whose backends may serve it; none: all
+    attempts: int = 0       # most backends that it may be sent to; 0: by the settings
 
 
 @dataclass(slots=True)
@@ -325,6 +327,7 @@
 class Refuse:
     request: int
     retry_after: float = 0.0
+    over: bool = False      # for its quota, not for want of room
 
 
 @dataclass(slots=True)
--- a/fennelpoint/lifecycle.py
+++ b/fennelpoint/lifecycle.py
@@ -80,8 +80,9 @@
 class LifeCycle:
     """Where an ingress stands.  `handle` takes events; `look` tells what is due at a time."""
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, settle: float = SETTLE, stop_within: float = STOP_WITHIN) -> None:
         self.phase, self.since = Phase.STARTING, now
+        self.settle, self.stop_within = settle, stop_within
         self.listed = False
         self.barred = False     # whoever asks by what right it acts has said no
 
@@ -115,19 +116,19 @@
     def look(self, now: float, connections: int, unanswered: int) -> list[Step]:
         """What is due, by how many connections are open and how many requests have no answer yet."""
         age = now - self.since
-        if self.phase is Phase.DRAINING and age >= SETTLE and not connections:
+        if self.phase is Phase.DRAINING and age >= self.settle and not connections:
             self.handle(Event.EMPTIED, now)
         if self.phase in (Phase.DRAINING, Phase.DRAINED, Phase.SHUT):
-            return [Step.CLOSE_IDLE] if age >= SETTLE or self.phase is Phase.DRAINED else []
+            return [Step.CLOSE_IDLE] if age >= self.settle or self.phase is Phase.DRAINED else []
         if self.phase not in ENDING:
             return []
-        steps = [Step.STOP_ACCEPTING] if age >= SETTLE or self.phase is Phase.LEAVING else []
-        if age < SETTLE:
+        steps = [Step.STOP_ACCEPTING] if age >= self.settle or self.phase is Phase.LEAVING else []
+        if age < self.settle:
             return steps
         steps.append(Step.CLOSE_IDLE)
-        if late := age >= STOP_WITHIN and unanswered > 0:
+        if late := age >= self.stop_within and unanswered > 0:
             steps.append(Step.FAIL_OPEN)
-        if late or not connections or age >= STOP_WITHIN:
+        if late or not connections or age >= self.stop_within:
             self.handle(Event.OVER, now)
             steps.append(Step.EXIT)
         return steps
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -13,6 +13,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 from typing import Protocol
 
 import httptools
@@ -51,7 +52,7 @@
 class Exchange:
     """One request to one backend, from the wish to send it until its outcome."""
 
-    __slots__ = ("render", "done", "begun", "upload", "taken", "may", "connection", "connecting", "ended")
+    __slots__ = ("render", "done", "begun", "upload", "taken", "may", "connection", "connecting", "ended", "txn")
 
     def __init__(self, render: Callable[[], bytes], done: Callable[[Status, Answer | None], None],
                  begun: Callable[[Answer, UpstreamConnection], Sink | None] = lambda answer, source: None,
@@ -62,6 +63,7 @@
         self.upload = upload    # the request's body, where that is passed on as it comes
         self.taken = taken      # told when some of that has been written
         self.may: Callable[[], bool] | None = None  # whether it may still be sent; none: always
+        self.txn = b""          # its id, for a pool that checks whose an answer is
         self.connection: UpstreamConnection | None = None
         self.connecting: asyncio.Task | None = None
         self.ended = False
@@ -114,7 +116,7 @@
 
     __slots__ = ("pool", "upstream", "transport", "exchange", "first", "parser", "flushed", "idle_since",
                  "poll", "status", "headers", "body", "size", "complete", "excess", "keep", "closed", "heard",
-                 "doubt", "sink", "length", "flows", "open_end", "got", "in_body", "paused", "pushed_at",
+                 "doubt", "sink", "length", "flows", "open_end", "got", "in_body", "paused", "pushed_at", "until",
                  "__weakref__")
 
     def __init__(self, pool: Backends, upstream: Upstream, first: Exchange) -> None:
@@ -125,6 +127,7 @@
         self.exchange: Exchange | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.flushed, self.closed, self.idle_since = True, False, 0.0
+        self.until = inf        # when the backend said that it closes an idle connection, less a margin
         self.sink: Sink | None = None   # who takes an answer that is passed on as it comes
         self.paused = False     # it takes no more just now
         self.pushed_at = 0.0    # when the last of a body was written that is passed on as it comes
@@ -266,6 +269,9 @@
 
     def _begin(self) -> None:
         """A large answer: from here on it goes out as it comes, and can't be had from another any more."""
+        if self.pool.judge(self.exchange, self.status, self.headers) is not Status.OK:
+            self.doubt = "is not of this request"
+            return
         first, self.body = b"".join(self.body), []
         self.sink = self.exchange.begun(Answer(self.status, self.headers, b"", self.length), self)
         if self.sink is None:
@@ -286,6 +292,9 @@
 
     def _answered(self) -> None:
         exchange, body, written = self.exchange, b"".join(self.body), self.written
+        status = self.pool.judge(exchange, self.status, self.headers)
+        if status is None:
+            return self._spoilt("is not of this request")
         answer = Answer(self.status, self.headers, body)
         self.exchange = self.sink = None
         if self.paused:
@@ -296,9 +305,8 @@
             self.close()
         else:
             self.idle_since = time.monotonic()
+            self.until = self.idle_since + self.pool.keeps_for(self.headers)
             self.upstream.idle.append(self)
-        turned_away = self.status in (503, 504) and (b"x-turned-away", b"1") in self.headers
-        status = Status.OK if self.status == 200 else Status.FULL if turned_away else Status.ERROR
         exchange.end(status, answer)
 
     def _spoilt(self, what: str) -> None:
@@ -354,6 +362,15 @@
         self.all: set[UpstreamConnection] = set()
         self.connecting: dict[asyncio.Task, Exchange] = {}
 
+    def judge(self, exchange: Exchange, status: int, headers: list[tuple[bytes, bytes]]) -> Status | None:
+        """What a whole answer proves; none where it is no answer to this request."""
+        turned_away = status in (503, 504) and (b"x-turned-away", b"1") in headers
+        return Status.OK if status == 200 else Status.FULL if turned_away else Status.ERROR
+
+    def keeps_for(self, headers: list[tuple[bytes, bytes]]) -> float:
+        """Seconds that the connection may stand idle, by the answer."""
+        return inf
+
     def follow(self, roster: Roster, addresses: dict[str, tuple[str, int]]) -> None:
         """Take in what discovery told: a new start or address gets connections of its own."""
         if roster.kind is not RosterKind.CHANGES:
@@ -389,7 +406,7 @@
         oldest = time.monotonic() - self.idle_most
         while upstream.idle:
             connection = upstream.idle.pop()
-            if connection.idle_since >= oldest and not connection.stale():
+            if connection.idle_since >= oldest and time.monotonic() < connection.until and not connection.stale():
                 return connection.start(exchange)
             connection.close()
         if self.open >= self.most and not self._evict():
@@ -436,11 +453,11 @@
 
     def sweep(self) -> None:
         """Drop what has been idle for long, before the backend does while a request is on its way."""
-        oldest = time.monotonic() - self.idle_most
+        now = time.monotonic()
+        oldest = now - self.idle_most
         for upstream in self.upstreams.values():
-            while upstream.idle and upstream.idle[0].idle_since < oldest:
+            while upstream.idle and (upstream.idle[0].idle_since < oldest or upstream.idle[0].until < now):
                 upstream.idle[0].close()
-        now = time.monotonic()
         for connection in list(self.all):
             connection.stalled(now)
 
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -65,8 +65,10 @@
     bare: bool = False  # a HEAD: the client wants no body
     upload: Upload | None = None    # its body, where that is passed on as it comes
     coming: float = 0.0     # s in which the rest of that should come
+    cell: str = ""          # the backends that may serve it, where the reader knows
+    attempts: int = 0       # most backends that it may be sent to; 0: by the settings
 
-    def render(self, left: float) -> bytes:
+    def render(self, left: float, backend: object = None) -> bytes:
         """The bytes for a backend that is waited for this many seconds."""
         return b"%bX-Remaining-Ms: %d\r\n\r\n%b" % (self.head, max(1, int(left * 1000)), self.body)
 
@@ -82,6 +84,7 @@
     timer: asyncio.TimerHandle | None = None
     attempts: int = 0
     begun: bool = False     # its answer has begun to go out: there is no deadline any more
+    last: Answer | None = None  # a backend's whole answer that was no success
     out: dict[int, Exchange] = field(default_factory=dict)
 
     def taken(self) -> None:
@@ -94,7 +97,8 @@
     """Drives the module from socket events and its actions back to the sockets."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, settings: api.Settings, seed: int,
-                 backends: Backends, counter: Counter | None, budget: Budget) -> None:
+                 backends: Backends, counter: Counter | None, budget: Budget,
+                 decider: type[Controller] | None = None) -> None:
         self.loop, self.settings, self.backends, self.budget = loop, settings, backends, budget
         self.clock = Clock()
         self.cells: CellsService | None = None  # where the operator file names a plan
@@ -114,7 +118,7 @@
             api.Log: lambda a: log.info("%s", a.text),
             # The watch on discovery never ends and asks for the whole list after a gap by itself.
             api.Subscribe: lambda a: None, api.FetchRoster: lambda a: None}
-        self.controller = Controller(settings, seed, self.clock())
+        self.controller = (decider or Controller)(settings, seed, self.clock())
         self._carry_out(self.controller.start(self.clock()))
 
     # Events
@@ -170,7 +174,8 @@
             ticket.timer = self.loop.call_later(asked.time_left, self._expire, ticket)
         self.post(api.Request(ticket.id, asked.cls, asked.plan, asked.customer, asked.time_left, asked.units,
                               asked.width, asked.first, asked.is_repeat, asked.is_write, asked.coming,
-                              self.cells.cell_of(asked.customer) if self.cells is not None else ""))
+                              self.cells.cell_of(asked.customer) if self.cells is not None else asked.cell,
+                              asked.attempts))
         return ticket.id
 
     def came(self, request: int) -> None:
@@ -263,6 +268,8 @@
                 self._finish(ticket, lambda client: client.done() if good else client.broken())
             elif status is api.Status.OK and ticket.client is not None:
                 self._finish(ticket, lambda client: client.served(answer))
+            elif answer is not None and not status.never_ran:
+                ticket.last = answer
             self._forget(ticket)
             self.post(api.Outcome(send.request, number, send.backend, status,
                                   self.clock() - self._sent(ticket, now),
@@ -281,12 +288,12 @@
 
         def render() -> bytes:
             if ticket.asked.upload is None:
-                return ticket.asked.render(until - self.clock())
+                return ticket.asked.render(until - self.clock(), send.backend)
             self.post(api.Spent(send.request))  # what is written is held no more
-            return ticket.asked.render(ticket.asked.time_left)
+            return ticket.asked.render(ticket.asked.time_left, send.backend)
 
         exchange = Exchange(render, done, begun, ticket.asked.upload, ticket.taken)
-        exchange.may = self.gate
+        exchange.may, exchange.txn = self.gate, ticket.asked.txn
         ticket.out[number] = exchange
         if until < ticket.deadline and ticket.asked.upload is None:     # else the request's own timer ends it
             timer = self.loop.call_later(until - now, exchange.give_up, api.Status.TIMEOUT)
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -503,11 +503,11 @@
                     self._stand(self.server.bodies)     # it has to keep its pace
 
     def served(self, answer: Answer) -> None:
-        self._answer(200, [f for f in answer.headers if f[0] not in HOP_BY_HOP], answer.body)
+        self._answer(answer.status, [f for f in answer.headers if f[0] not in HOP_BY_HOP], answer.body)
 
-    def refused(self, retry_after: float) -> None:
+    def refused(self, retry_after: float, status: int = 503) -> None:
         advice = [(b"retry-after", b"%.3f" % retry_after)] if retry_after > 0.0 else []
-        self._answer(503, advice, b"refused: trying again is harmless\n")
+        self._answer(status, advice, b"refused: trying again is harmless\n")
 
     def failed(self) -> None:
         self._answer(502, [], b"failed\n")
@@ -599,7 +599,7 @@
         return keep and (self.server.life.keeps or bool(self.waiting) or self.in_head or self.in_body)
 
     def _head(self, status: int, headers: Iterable[tuple[bytes, bytes]], keep: bool) -> bytes:
-        lines = [b"HTTP/1.1 %d %b" % (status, REASONS[status])]
+        lines = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Status"))]
         lines += [name + b": " + value for name, value in headers]
         if not keep:
             lines.append(b"connection: close")
@@ -697,6 +697,7 @@
         self.bodies: dict[ClientConnection, None] = {}   # with a body that comes, its request open or not
         self.flowing: dict[ClientConnection, None] = {}  # of any of these, with an answer that is passed on
         self.listener: asyncio.Server | None = None
+        self.head_timeout, self.idle_timeout = HEAD_TIMEOUT, IDLE_TIMEOUT
 
     async def listen(self, at: tuple[str, int] | socket.socket) -> None:
         """At an address of our own, or on a socket that listens already."""
@@ -728,11 +729,11 @@
 
     def sweep(self) -> None:
         now = time.monotonic()
-        for line, most in ((self.coming, HEAD_TIMEOUT), (self.idle, IDLE_TIMEOUT),
-                           (self.once, IDLE_TIMEOUT), (self.leaving, LINGER)):
+        for line, most in ((self.coming, self.head_timeout), (self.idle, self.idle_timeout),
+                           (self.once, self.idle_timeout), (self.leaving, LINGER)):
             for connection in list(takewhile(lambda c: c.since < now - most, line)):  # noqa: B023
                 connection.overdue()
-        for connection in [c for c in self.begun if c.since < now - HEAD_TIMEOUT]:
+        for connection in [c for c in self.begun if c.since < now - self.head_timeout]:
             connection.overdue()
         for connection in [c for c in self.bodies if c.pace is not None and c.pace.late(now)]:
             connection.overdue()
--- a/fennelpoint/standins/rig.py
+++ b/fennelpoint/standins/rig.py
@@ -148,9 +148,8 @@
         self.keepers = {f"k{i}": ("127.0.0.1", free_port()) for i in range(shape.keepers)}
         self.keeper_links: dict[tuple[str, str], Link] = {}
         self.commands: dict[str, Command] = {}
-        # In memory where that can be: dozens of processes on one disk would wait for each other's syncs.
-        memory = "/dev/shm" if os.access("/dev/shm", os.W_OK) else None
-        self.folder = tempfile.TemporaryDirectory(prefix="larchwing-rig-", dir=memory)
+        # Whoever plays many sets one in memory: dozens of processes on one disk wait for each other's syncs.
+        self.folder = tempfile.TemporaryDirectory(prefix="larchwing-rig-", dir=os.environ.get("LARCHWING_RIG_FOLDER"))
         self.tasks: list[asyncio.Task] = []
         self.stopped: set[str] = set()
         self.fleet = Fleet(self.keepers, wait=3.0)
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -138,6 +138,7 @@
     picked: list[Backend] | None = None  # backends probed for it
     draw_at: float = 0.0            # when it may draw a cold backend again
     spills: bool = False            # its own cell has nothing left: it goes to another
+    avoid: object = None            # the backend that had it last
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/fennelpoint/system/events.py
@@ -0,0 +1,48 @@
+"""Numbered log events; `docs/system-events.md` is made from this table."""
+
+from __future__ import annotations
+
+import sys
+from enum import Enum
+
+from logbook import Logger, StreamHandler
+
+_log = Logger("larchwing")
+
+
+class Event(Enum):
+    """Number, level, text with named fields, and what it means to whoever is on call."""
+
+    START = (100, "info", "{role} starts on {node}", "A process is up.")
+    READY = (101, "info", "{node} is ready", "A front holds a lease, a list and a configuration.")
+    STOP = (102, "info", "{node} stops", "SIGTERM came; it leaves in order.")
+    BAD_SETTINGS = (110, "error", "{reason}", "The settings file can't be used; the process ends.")
+    CRASHED = (111, "error", "{where}: {reason}", "A defect: a message or request was dropped, the process lives.")
+    FOUNDED = (200, "notice", "the core is founded by {voters}", "First start of the whole system.")
+    REJOINING = (201, "notice", "{node} has no vote and asks {peers}", "Its disk is empty: it votes only once it "
+                 "has heard a majority of the others.")
+    REJOINED = (202, "notice", "{node} votes again, life {life}", "The core is whole again.")
+    VOTERS = (203, "notice", "voters are {voters}", "Membership of the core changed.")
+    SET_ASIDE = (204, "error", "{path} is not believed: {reason}", "A torn or foreign file; a rejoin follows.")
+    DISK = (205, "error", "{step} failed: {reason}", "The disk refuses writes: this machine stops voting.")
+    DECIDED = (210, "info", "version {version} is agreed, revision {rev}", "A change is acknowledged.")
+    REFUSED = (211, "info", "a change is refused: {reason}", "Told to the operator with a 4xx.")
+    EVACUATED = (212, "notice", "evacuated zones: {zones}", "Nothing more is sent to them.")
+    LEADS = (300, "info", "{node} reckons parts, term {term}", "The duty is held by a lease that a majority gave.")
+    YIELDS = (301, "info", "{node} reckons parts no more: {reason}", "The duty's lease ended.")
+    DRAINS = (310, "info", "{id} drains, told by {by}", "Fronts stop sending to it.")
+    GONE = (311, "info", "{id} is gone", "A backend left in order.")
+    LAPSED = (400, "warning", "{node} holds no lease: {reason}", "Nothing is sent on until a core machine answers.")
+    APPLIED = (401, "info", "{node} goes by version {version}", "From now on requests go by it.")
+    FROM = (402, "info", "{node} hears {peer}", "The core machine that a front goes by.")
+
+
+def say(event: Event, **fields: object) -> None:
+    """One line: number, name, text."""
+    number, level, text, _ = event.value
+    getattr(_log, level)("{} {} {}", number, event.name, text.format(**fields))
+
+
+def to_stderr(level: str = "INFO") -> None:
+    """Lines with level and number on standard error, for the whole process."""
+    StreamHandler(sys.stderr, level=level, format_string="{record.level_name} {record.message}").push_application()
--- /dev/null
+++ b/fennelpoint/system/roll/desk.py
@@ -0,0 +1,453 @@
+"""The decider of the registry: calls from outside, news between core machines, lists and leases for fronts.
+
+Events with the time in, actions out.  A call that has to wait (for a majority, for the store) is kept by a token.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err
+
+from fennelpoint.system import forms
+from fennelpoint.system.mesh import ip_of, name
+from fennelpoint.system.roll.view import DRAINING, GONE, READY, Backends, Members, Told
+from fennelpoint.system.web import Asking, Reply
+
+FRESH = 1.8         # s without an ask after which a front is left out of the directory
+TTL = 2.0           # s that clients may hold an answer
+WAIT_DRAIN = 0.9    # s for a majority to hold a drain
+WAIT_CHANGE = 3.0   # s for the store
+GOSSIP = 0.5        # s between words on who was heard
+READ_AGAIN = 0.7    # s after which a read that got no answer is asked for anew
+
+
+@dataclass(slots=True)
+class Send:
+    to: str
+    message: list
+
+
+@dataclass(slots=True)
+class Answer:
+    asking: Asking
+    reply: Reply
+
+
+@dataclass(slots=True)
+class Note:
+    event: str
+    fields: dict
+
+
+@dataclass(slots=True)
+class Held:
+    """A call that waits: for a majority of core machines, or for the store."""
+
+    asking: Asking
+    until: float
+    holders: set[str] = field(default_factory=set)
+    then: Callable[[list], None] | None = None
+
+
+def fault(status: int, text: str) -> Reply:
+    return Reply(status, {"error_message": text}, headers=[("Retry-After", "0.2")] if status == 503 else [])
+
+
+class Desk:
+    """One core machine's part of the registry."""
+
+    def __init__(self, me: str, zone: str, region: str, regions: dict[str, str], seeds: list[str], port: int,
+                 beat: float, ttl_most: float, life: int, now: float) -> None:
+        self.me, self.zone, self.region, self.regions, self.port = me, zone, region, regions, port
+        self.beat, self.ttl, self.life, self.born = beat, min(TTL, ttl_most), life, now
+        self.seeds = seeds
+        self.store = name("writ", me)
+        self.backends, self.members = Backends(), Members()
+        self.world: dict = {}
+        self.contents: dict[str, bytes] = {}    # by digest, packed
+        self.wants: dict[str, list[Callable[[], None]]] = {}    # what waits for a content
+        self.fronts: dict[str, int] = {}        # that are connected, and the number each one has heard of
+        self.number = 0         # of the newest change of the list
+        self.calls: dict[int, Held] = {}
+        self.tokens = 0
+        self.asks: list[tuple[str, float, dict]] = []   # wait for the next read
+        self.reading: tuple[int, float, list] | None = None
+        self.gossip_at = self.sweep_at = now
+        self.news: set[str] = set()             # ids heard here since the last word to others
+        self.told_members: dict[str, tuple] = {}
+        self.links: set[str] = set()            # core machines whose registry is connected
+        self.whole_since: float | None = None   # since when these are a majority with us
+        self.out: list = []
+
+    # Events
+
+    def heard(self, peer: str, message: list, now: float) -> list:
+        kind, *rest = message
+        do = getattr(self, f"_on_{kind}", None)
+        if do is not None:
+            do(peer, now, *rest)
+        return self._done()
+
+    def call(self, asking: Asking, now: float) -> list:
+        getattr(self, f"_call_{asking.call.name}")(asking, now)
+        return self._done()
+
+    def linked(self, peer: str, up: bool, now: float) -> list:
+        """A connection to or from a peer came up or went down."""
+        if peer.startswith("roll@"):
+            self.links.add(ip_of(peer)) if up else self.links.discard(ip_of(peer))
+        if peer.startswith("roll@") and up:
+            self.told_members.clear()
+            items = [b.now(now).pack() for b in self.backends.known.values()]
+            if items:
+                self._send(peer, ["backends", 0, items])
+        elif peer.startswith("span@") and not up:
+            self.fronts.pop(peer, None)
+        elif peer == self.store and up:
+            self.reading = None
+            self._read(now)
+        return self._done()
+
+    def tick(self, now: float) -> list:
+        for token, held in list(self.calls.items()):
+            if now >= held.until or held.asking.gone:
+                del self.calls[token]
+                self._answer(held.asking, fault(503, "no majority answers"))
+        if self.reading is not None and now >= self.reading[1]:
+            asks, self.reading = self.reading[2], None
+            self.asks = [a for a in asks + self.asks if now - a[1] < 2.0]
+            self._read(now)
+        if now >= self.gossip_at:
+            self.gossip_at = now + GOSSIP
+            self._gossip(now)
+        if now >= self.sweep_at:
+            self.sweep_at = now + 0.25
+            # Guards against an outage made by ourselves: who hears no majority, or has just begun to, has not
+            # heard of many that live.
+            if not self._quorum({self.me, *self.links}):
+                self.whole_since = None
+            elif self.whole_since is None:
+                self.whole_since = now
+            elif now - self.whole_since > 4.0 * self.beat:
+                self._push([b.told.id for b in self.backends.sweep(now, self.beat)], now)
+        return self._done()
+
+    def _done(self) -> list:
+        out, self.out = self.out, []
+        return out
+
+    def _send(self, to: str, message: list) -> None:
+        self.out.append(Send(to, message))
+
+    def _answer(self, asking: Asking, reply: Reply) -> None:
+        self.out.append(Answer(asking, reply))
+
+    # Members of the core
+
+    @property
+    def core(self) -> dict[str, str]:
+        """Core machines that are known, zones by IP address."""
+        if not self.world:
+            return {ip: "" for ip in self.seeds}
+        return {**self.world["ready"], **self.world["voters"]}
+
+    @property
+    def others(self) -> list[str]:
+        return [name("roll", ip) for ip in sorted(self.core) if ip != self.me]
+
+    def _quorum(self, holders: set[str]) -> bool:
+        voters = self.world["voters"] if self.world else {ip: "" for ip in self.seeds}
+        return len(holders & voters.keys()) > len(voters) // 2
+
+    # Backends
+
+    def _call_beat(self, asking: Asking, now: float) -> None:
+        try:
+            value = forms.json.loads(asking.body)
+            info, status = value["information"], value["status"]
+            told = Told(asking.segment, str(value["address"]), str(info["service"]),
+                        str(info["availability_zone"]), int(info["free_slots"]), str(info.get("version", "")),
+                        DRAINING if status["state"] == DRAINING else READY, int(status["sequence"]),
+                        max(0.0, float(status.get("cold_remaining_s") or 0.0)))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            return self._answer(asking, fault(400, f"the beat can't be read: {error!r}"))
+        known = self.backends.known.get(told.id)
+        changed = self.backends.fold(told, now)
+        self.news.add(told.id)
+        body = {}
+        if (nearest := self._nearest(told.zone)) is not None:
+            body["heartbeat_address"] = f"{nearest}:{self.port}"
+        if changed:
+            self._push([told.id], now)
+        if told.state == DRAINING:
+            if changed:
+                self.out.append(Note("DRAINS", {"id": told.id, "by": "itself"}))
+            return self._spread(asking, [told.id], now, Reply(200, body))
+        if changed:
+            self._share([told.id], now, 0)
+        if known is None and self.world and not self.world["voters"]:
+            return self._answer(asking, fault(503, "not yet"))
+        self._answer(asking, Reply(200, body))
+
+    def _call_leave(self, asking: Asking, now: float) -> None:
+        old = self.backends.known.get(asking.segment)
+        told = old.now(now) if old is not None else Told(asking.segment, "", "", "", 0, "", GONE, 0, 0.0)
+        told.state, told.seq, told.age = GONE, told.seq + 1, 0.0
+        if self.backends.fold(told, now):
+            self.out.append(Note("GONE", {"id": told.id}))
+            self._push([told.id], now)
+        self._spread(asking, [told.id], now, Reply(200, {}))
+
+    def _nearest(self, zone: str) -> str | None:
+        """The core machine that a backend of that zone does best to call."""
+        core, region = self.core, self.regions.get(zone)
+        same = sorted(ip for ip, z in core.items() if z == zone)
+        near = sorted(ip for ip, z in core.items() if self.regions.get(z) == region)
+        return same[0] if same else near[zlib.crc32(zone.encode()) % len(near)] if near else None
+
+    def _spread(self, asking: Asking, ids: list[str], now: float, reply: Reply) -> None:
+        """Answer once a majority of the core holds it."""
+        self.tokens += 1
+        token = self.tokens
+        held = self.calls[token] = Held(asking, now + WAIT_DRAIN, {self.me})
+        held.then = lambda _: self._answer(asking, reply)
+        self._share(ids, now, token)
+        self._held(token)
+
+    def _held(self, token: int) -> None:
+        if (held := self.calls.get(token)) is not None and self._quorum(held.holders):
+            del self.calls[token]
+            held.then([])
+
+    def _share(self, ids: list[str], now: float, token: int) -> None:
+        items = [self.backends.known[id].now(now).pack() for id in ids if id in self.backends.known]
+        for peer in self.others:
+            self._send(peer, ["backends", token, items])
+
+    def _on_backends(self, peer: str, now: float, token: int, items: list) -> None:
+        changed = [item[0] for item in items if self.backends.fold(Told(*item), now)]
+        if changed:
+            self._push(changed, now)
+        if token:
+            self._send(peer, ["hold", token])
+
+    def _on_hold(self, peer: str, now: float, token: int) -> None:
+        if (held := self.calls.get(token)) is not None:
+            held.holders.add(ip_of(peer))
+            self._held(token)
+
+    def _gossip(self, now: float) -> None:
+        """Who was heard here: backends by id, fronts whole where something of them changed."""
+        whole, brief = [], []
+        for m in self.members.known.values():
+            if not m.direct or now - m.heard > FRESH:
+                continue
+            state = (m.address, m.life, m.ready)
+            if self.told_members.get(m.ip) != state:
+                self.told_members[m.ip] = state
+                whole.append(m.pack(now))
+            else:
+                brief.append([m.ip, round(now - m.heard, 2)])
+        news, self.news = sorted(self.news), set()
+        if whole or brief or news:
+            for peer in self.others:
+                self._send(peer, ["heard", news, whole, brief])
+
+    def _on_heard(self, peer: str, now: float, news: list, whole: list, brief: list) -> None:
+        revived = [id for id in news if self.backends.fresh(id, 0.0, now)]
+        if revived:
+            self._push(revived, now)
+        for ip, address, zone, region, life, ready, age in whole:
+            self.members.fold(ip, address, zone, region, life, ready, age, now)
+        for ip, age in brief:
+            if (m := self.members.known.get(ip)) is not None and now - age > m.heard:
+                m.heard, m.direct = now - age, False
+
+    # Fronts
+
+    def _push(self, ids: list[str], now: float) -> None:
+        """A numbered change of the list, to every front that is connected here."""
+        if not ids:
+            return
+        self.number += 1
+        items = self._items(ids, now)
+        for peer in self.fronts:
+            self._send(peer, ["list", self.life, self.number, items, False])
+
+    def _items(self, ids: list[str], now: float) -> list:
+        out = []
+        for id in ids:
+            if (b := self.backends.known.get(id)) is not None:
+                item = b.now(now).pack()
+                item.append(b.lost)
+                out.append(item)
+        return out
+
+    def _on_front(self, peer: str, now: float, known: list) -> None:
+        """A front connects: it tells what it knows, and gets all that there is."""
+        changed = [item[0] for item in known if self.backends.fold(Told(*item[:10]), now)]
+        if changed:
+            self._share(changed, now, 0)
+            self._push(changed, now)
+        self.fronts[peer] = 0
+        self._send(peer, ["list", self.life, self.number, self._items(list(self.backends.known), now), True])
+        if self.world:
+            self._send(peer, ["world", *self._brief()])
+
+    def _brief(self) -> list:
+        w = self.world
+        return [w["rev"], w["version"], w["digest"], w["evac"], self.core]
+
+    def _on_ask(self, peer: str, now: float, stamp: float, told: dict) -> None:
+        ip = ip_of(peer)
+        self.members.fold(ip, told["address"], told["zone"], told["region"], told["life"], told["ready"], 0.0, now,
+                          True)
+        self.fronts.setdefault(peer, 0)
+        self.fronts[peer] = told.get("n", 0)
+        self.asks.append((peer, now, {"stamp": stamp}))
+        self._read(now)
+
+    def _read(self, now: float) -> None:
+        """One read of the newest at a time; it serves all asks that came before it began."""
+        if self.reading is None and self.asks:
+            self.tokens += 1
+            asks, self.asks = self.asks, []
+            self.reading = (self.tokens, now + READ_AGAIN, asks)
+            self._send(self.store, ["read", self.tokens])
+
+    def _on_newest(self, peer: str, now: float, token: int, world: dict | None) -> None:
+        if world is not None:
+            self._on_world(peer, now, world)
+        if (held := self.calls.get(token)) is not None:
+            del self.calls[token]
+            held.then([world])
+        if self.reading is None or self.reading[0] != token:
+            return
+        asks, self.reading = self.reading[2], None
+        if world is not None:
+            count = sum(now - m.heard < 6.0 for m in self.members.known.values())
+            for front, _, ask in asks:
+                self._send(front, ["lease", ask["stamp"], world["rev"], world["version"], world["digest"],
+                                   world["evac"], count])
+        self._read(now)
+
+    def _on_world(self, peer: str, now: float, world: dict) -> None:
+        if self.world and world["rev"] <= self.world["rev"]:
+            return
+        self.world = world
+        if world["digest"] and world["digest"] not in self.contents:
+            self._send(self.store, ["want", world["digest"]])
+        for front in self.fronts:
+            self._send(front, ["world", *self._brief()])
+
+    def _on_content(self, peer: str, now: float, digest: str, data: bytes) -> None:
+        self.contents[digest] = data
+        while len(self.contents) > 4:
+            self.contents.pop(next(iter(self.contents)))
+        for then in self.wants.pop(digest, ()):
+            then()
+
+    def _with_content(self, digest: str, then: Callable[[], None]) -> None:
+        if digest in self.contents:
+            return then()
+        self.wants.setdefault(digest, []).append(then)
+        self._send(self.store, ["want", digest])
+
+    def _on_need(self, peer: str, now: float, digest: str) -> None:
+        """A front asks for a configuration."""
+        self._with_content(digest, lambda: self._send(peer, ["content", digest, self.contents[digest]]))
+
+    # Clients
+
+    def _call_resolve(self, asking: Asking, now: float) -> None:
+        zone = asking.query.get("availability_zone", "")
+        region = asking.query.get("region") or self.regions.get(zone, "")
+        addresses = self.members.near(zone, region, now, FRESH)[:64]
+        if not addresses:
+            return self._answer(asking, fault(503, "no front is ready"))
+        self._answer(asking, Reply(200, {"addresses": addresses, "ttl_s": self.ttl}))
+
+    # Operators
+
+    def _wait(self, asking: Asking, now: float, then: Callable[[list], None]) -> int:
+        self.tokens += 1
+        self.calls[self.tokens] = Held(asking, now + WAIT_CHANGE, then=then)
+        return self.tokens
+
+    def _change(self, asking: Asking, now: float, kind: str, args: list, data: bytes = b"") -> None:
+        token = self._wait(asking, now, lambda got: self._answer(
+            asking, Reply(200, {}) if got[0] == 200 else fault(got[0], got[1])))
+        self._send(self.store, ["change", token, kind, args, data])
+
+    def _on_changed(self, peer: str, now: float, token: int, status: int, reason: str, world: dict | None) -> None:
+        if world is not None:
+            self._on_world(peer, now, world)
+        if status not in (200, 503):
+            self.out.append(Note("REFUSED", {"reason": reason}))
+        if (held := self.calls.pop(token, None)) is not None:
+            held.then([status, reason])
+
+    def _call_put(self, asking: Asking, now: float) -> None:
+        read = forms.decode(asking.body).and_then(
+            lambda value: forms.numbers(value).and_then(lambda n: forms.check(value).map(lambda _: (value, n))))
+        if isinstance(read, Err):
+            return self._answer(asking, fault(read.err_value.status, str(read.err_value)))
+        value, (version, base) = read.ok_value
+        self._agree(asking, now, version, base, forms.digest(b"PUT" + asking.body), value)
+
+    def _agree(self, asking: Asking, now: float, version: int, base: int, sent: str, value: dict) -> None:
+        data = zlib.compress(forms.encode(value), 1)
+        self._change(asking, now, "put", [version, base, sent, forms.digest(data)], data)
+
+    def _call_patch(self, asking: Asking, now: float) -> None:
+        read = forms.decode(asking.body).and_then(lambda v: forms.numbers(v).map(lambda n: (v, n)))
+        if isinstance(read, Err):
+            return self._answer(asking, fault(read.err_value.status, str(read.err_value)))
+        value, (version, base) = read.ok_value
+        sent = forms.digest(b"PATCH" + asking.body)
+
+        def with_world(got: list) -> None:
+            if (world := got[0]) is None:
+                return self._answer(asking, fault(503, "no majority answers"))
+            if [version, sent] in world["past"]:
+                return self._answer(asking, Reply(200, {}))
+            if base != world["version"] or not world["digest"]:
+                return self._answer(asking, fault(412, f"version {world['version']} is in place, not {base}"))
+            self._with_content(world["digest"], lambda: merged(world["digest"]))
+
+        def merged(digest: str) -> None:
+            held = forms.decode(zlib.decompress(self.contents[digest])).unwrap()
+            made = forms.merge(held, value).and_then(lambda whole: forms.check(whole).map(lambda _: whole))
+            if isinstance(made, Err):
+                return self._answer(asking, fault(made.err_value.status, str(made.err_value)))
+            self._agree(asking, now, version, base, sent, made.ok_value)
+
+        self._send(self.store, ["read", self._wait(asking, now, with_world)])
+
+    def _call_get(self, asking: Asking, now: float) -> None:
+        def with_world(got: list) -> None:
+            if (world := got[0]) is None:
+                return self._answer(asking, fault(503, "no majority answers"))
+            if not (digest := world["digest"]):
+                return self._answer(asking, fault(404, "there is no configuration yet"))
+            self._with_content(digest, lambda: self._answer(
+                asking, Reply(200, raw=zlib.decompress(self.contents[digest]))))
+
+        self._send(self.store, ["read", self._wait(asking, now, with_world)])
+
+    def _call_evacuate(self, asking: Asking, now: float) -> None:
+        self._change(asking, now, "evacuate", [asking.segment, True])
+
+    def _call_restore(self, asking: Asking, now: float) -> None:
+        self._change(asking, now, "evacuate", [asking.segment, False])
+
+    def _call_status(self, asking: Asking, now: float) -> None:
+        """The whole as this core machine sees it."""
+        self._answer(asking, Reply(200, {
+            "node": self.me, "version": self.world.get("version", 0), "revision": self.world.get("rev", 0),
+            "voters": self.world.get("voters", {}), "evacuated": self.world.get("evac", []),
+            "fronts": [m.pack(now) for m in self.members.known.values()],
+            "backends": [b.now(now).pack() for b in self.backends.known.values()]}))
--- /dev/null
+++ b/fennelpoint/system/roll/program.py
@@ -0,0 +1,75 @@
+"""The process of the registry: sockets and clock round `desk.Desk`."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from fennelpoint.system.events import Event, say
+from fennelpoint.system.mesh import Mesh, name
+from fennelpoint.system.roll.desk import Answer, Desk, Note, Send
+from fennelpoint.system.settings import Settings
+from fennelpoint.system.web import Asking, Reply, Web
+
+TICK = 0.05     # s
+
+
+class Program:
+    """Carries out what the decider says, in order."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, settings: Settings) -> None:
+        self.loop, self.settings = loop, settings
+        listen, bounds = settings.listen_addresses, settings.rule_bounds
+        self.desk = Desk(settings.ip_address, settings.availability_zone, settings.region, settings.zones,
+                         settings.seeds, listen.control_plane[1], settings.heartbeat_s, bounds.ttl_max_s,
+                         time.time_ns() // 1_000_000, time.monotonic())
+        self.mesh = Mesh(loop, "roll", settings.ip_address, settings.internal_ports, self.take, self.linked)
+        self.web = Web(loop, self.call)
+        self.stopped = loop.create_future()
+
+    async def start(self) -> None:
+        await self.mesh.start()
+        listen = self.settings.listen_addresses
+        await self.web.listen("control_plane", listen.control_plane)
+        if listen.directory_service is not None:
+            await self.web.listen("directory_service", listen.directory_service)
+        self._tick()
+
+    def _tick(self) -> None:
+        self.loop.call_later(TICK, self._tick)
+        self.carry_out(self.desk.tick(time.monotonic()))
+        self.mesh.dial({*self.desk.others, name("writ", self.settings.ip_address)})
+
+    def take(self, peer: str, message: list) -> None:
+        self.carry_out(self.desk.heard(peer, message, time.monotonic()))
+
+    def linked(self, peer: str, up: bool) -> None:
+        self.carry_out(self.desk.linked(peer, up, time.monotonic()))
+
+    def call(self, asking: Asking) -> None:
+        try:
+            self.carry_out(self.desk.call(asking, time.monotonic()))
+        except Exception as error:
+            say(Event.CRASHED, where=asking.call.name, reason=repr(error))
+            asking.answer(Reply(503))
+
+    def carry_out(self, actions: list) -> None:
+        for action in actions:
+            match action:
+                case Send(to, message):
+                    self.mesh.send(to, message)
+                case Answer(asking, reply):
+                    asking.answer(reply)
+                case Note(event, fields):
+                    say(Event[event], **fields)
+
+    def reload(self, settings: Settings) -> None:
+        self.desk.seeds = settings.seeds
+
+    def stop(self) -> None:
+        if not self.stopped.done():
+            self.stopped.set_result(None)
+
+    def close(self) -> None:
+        self.mesh.close()
+        self.web.close()
--- /dev/null
+++ b/fennelpoint/system/roll/view.py
@@ -0,0 +1,145 @@
+"""Who there is: backends by what they say, fronts by their asks; mergeable, whatever the order of the news.
+
+Events go into a journal in memory; `Backends` is folded from it.  Times are seconds on this machine's steady clock;
+what is told to others carries ages and what is left, never moments.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+READY, DRAINING, GONE = "ready", "draining", "gone"
+STRENGTH = {READY: 0, DRAINING: 1, GONE: 2}
+FORGET = 60.0       # s after which one that is gone is forgotten: its id never speaks again
+LOST_AFTER = 3.4    # beats that are missed before a backend counts as lost
+
+
+@dataclass(slots=True)
+class Told:
+    """What is said of one life of a backend; `cold` is what is left, in s; `age` since it spoke itself."""
+
+    id: str
+    address: str
+    service: str
+    zone: str
+    slots: int
+    version: str
+    state: str
+    seq: int
+    cold: float
+    age: float = 0.0
+
+    def pack(self) -> list:
+        return [self.id, self.address, self.service, self.zone, self.slots, self.version, self.state, self.seq,
+                round(self.cold, 2), round(self.age, 2)]
+
+
+@dataclass(slots=True)
+class Backend:
+    """One life, as it is known here."""
+
+    told: Told
+    heard: float
+    cold_until: float
+    gone_at: float = 0.0
+    lost: bool = False
+
+    def now(self, now: float) -> Told:
+        t = self.told
+        return Told(t.id, t.address, t.service, t.zone, t.slots, t.version, t.state, t.seq,
+                    max(0.0, self.cold_until - now), max(0.0, now - self.heard))
+
+
+@dataclass(slots=True)
+class Backends:
+    """All lives that are known; `fold` takes news and says whether something changed that others act on."""
+
+    known: dict[str, Backend] = field(default_factory=dict)
+    journal: deque = field(default_factory=lambda: deque(maxlen=2000))
+
+    def fold(self, told: Told, now: float) -> bool:
+        """Merge by id: the stronger state wins, then the later word; a late word never revives."""
+        self.journal.append((now, told))
+        heard, cold_until = now - told.age, now + told.cold if told.cold > 0.0 else 0.0
+        old = self.known.get(told.id)
+        if old is None:
+            self.known[told.id] = Backend(told, heard, cold_until, now if told.state == GONE else 0.0)
+            return True
+        stronger = STRENGTH[told.state] > STRENGTH[old.told.state]
+        later = told.seq > old.told.seq
+        if STRENGTH[told.state] < STRENGTH[old.told.state]:
+            old.heard = max(old.heard, heard)
+            return False
+        if not later and not stronger:
+            old.heard = max(old.heard, heard)
+            return False
+        cold_changed = abs(max(cold_until, now) - max(old.cold_until, now)) > 0.7
+        changed = stronger or cold_changed or old.lost or (
+            told.address, told.service, told.zone, told.slots) != (
+            old.told.address, old.told.service, old.told.zone, old.told.slots)
+        old.told = told if later else Told(*[*old.told.pack()[:6], told.state, old.told.seq, told.cold, 0.0])
+        old.heard, old.lost = max(old.heard, heard), False
+        if cold_changed or told.cold <= 0.0:
+            old.cold_until = cold_until
+        if told.state == GONE and not old.gone_at:
+            old.gone_at = now
+        return changed
+
+    def fresh(self, id: str, age: float, now: float) -> bool:
+        """Another heard it; whether it was lost before."""
+        if (b := self.known.get(id)) is None:
+            return False
+        b.heard = max(b.heard, now - age)
+        revived, b.lost = b.lost, False
+        return revived
+
+    def sweep(self, now: float, beat: float) -> list[Backend]:
+        """Those that are lost from now on; forgets those gone for long."""
+        lost = []
+        for id, b in list(self.known.items()):
+            if b.told.state == GONE:
+                if now - b.gone_at > FORGET:
+                    del self.known[id]
+            elif not b.lost and now - b.heard > LOST_AFTER * beat:
+                b.lost = True
+                lost.append(b)
+        return lost
+
+
+@dataclass(slots=True)
+class Member:
+    """A front: where clients reach it, where it stands, and when it last asked."""
+
+    ip: str
+    address: str
+    zone: str
+    region: str
+    life: int
+    ready: bool
+    heard: float
+    direct: bool = False    # it asks here
+
+    def pack(self, now: float) -> list:
+        return [self.ip, self.address, self.zone, self.region, self.life, self.ready, round(now - self.heard, 2)]
+
+
+@dataclass(slots=True)
+class Members:
+    """The fronts, by IP address."""
+
+    known: dict[str, Member] = field(default_factory=dict)
+
+    def fold(self, ip: str, address: str, zone: str, region: str, life: int, ready: bool, age: float, now: float,
+             direct: bool = False) -> None:
+        old = self.known.get(ip)
+        if old is not None and now - age < old.heard:
+            return      # what was said earlier; lives are drawn, and tell no order
+        self.known[ip] = Member(ip, address, zone, region, life, ready, now - age, direct)
+
+    def near(self, zone: str, region: str, now: float, fresh: float, least: int = 2) -> list[str]:
+        """Addresses of fronts that are ready, for a client there: its region's, or all where that has few."""
+        ready = [m for m in self.known.values() if m.ready and now - m.heard <= fresh]
+        ours = [m for m in ready if m.region == region]
+        chosen = ours if len(ours) >= least else ready
+        return [m.address for m in sorted(chosen, key=lambda m: (m.zone != zone, m.region != region, m.address))]
--- /dev/null
+++ b/fennelpoint/system/span/decide.py
@@ -0,0 +1,199 @@
+"""The decision module on a front of the whole system: its admission as it is, with what the core lends.
+
+Added to `Controller`: classes and plans that change with the configuration, shares of quotas that are lent, cold
+backends by an own part of tries a second, a budget of further tries for each service, distance in the choice.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field, replace
+from math import inf
+
+from fennelpoint import interface as api
+from fennelpoint.control import Controller
+from fennelpoint.state import Backend, Customer, Try
+
+HELD_PART = 0.22    # of an aim that a try waits without having been offered to a backend
+QUEUE = 1.0         # of a backend's slots, own tries out beyond them
+SECOND = 1.02       # s in which a cold backend's part is counted, with what timers and clocks are off
+WINDOW_LEAST = 2.0  # tries out that a service's window always allows
+ADVICE = 0.15       # s, at least, after which a refused client is told to come again
+
+
+@dataclass(slots=True)
+class Catalogue:
+    """Classes and plans from now on; what was there keeps its number."""
+
+    classes: list[api.RequestClass]
+    plans: list[api.Plan]
+
+
+@dataclass(slots=True)
+class Shares:
+    """This front's part of each tenant's quota, by number; none told: `floor`."""
+
+    shares: dict[int, float]
+    floor: float
+
+
+@dataclass(slots=True)
+class Places:
+    """Of each backend: how far it is in s, how many it works on at once, until when it is cold, and then how many
+    tries a second are ours; and how many fronts are likely to send to it, too."""
+
+    far: dict[object, float]
+    slots: dict[object, int]
+    cold: dict[object, tuple[float, int]]
+    sharers: float = 1.0
+
+
+@dataclass(slots=True)
+class Budget:
+    """Further tries of one service: a part of its first ones, and of the slack that all fronts share."""
+
+    tokens: float = 0.0
+    filled: float = 0.0
+    first: deque = field(default_factory=deque)
+
+    def fill(self, slack: float, window: float, now: float) -> None:
+        if self.filled:
+            self.tokens = min(max(slack, self.tokens), self.tokens + slack / window * (now - self.filled))
+        self.filled = now
+
+
+class Decider(Controller):
+    """The decisions of one front."""
+
+    def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
+        super().__init__(settings, seed, now)
+        self.shares, self.floor = {}, 0.0
+        self.places = Places({}, {}, {})
+        self.sent_cold: dict[object, deque] = {}    # when tries were sent to a cold backend
+        self.budgets: dict[str, Budget] = {}
+        self.ratio, self.slack, self.span = 0.2, 1.0, 10.0  # of the budget, the last two of this front's part
+        self.on |= {Catalogue: self._catalogue, Shares: self._lent, Places: self._placed}
+
+    # What the core tells
+
+    def _catalogue(self, event: Catalogue, now: float) -> None:
+        for c in self.customers.values():
+            self._fill(c, now)
+        self.settings = replace(self.settings, classes=event.classes, plans=event.plans)
+        for cls in event.classes[len(self.typical):]:
+            self.typical.append(0.12 * cls.aim)
+            self.usual.append(0.12 * cls.aim)
+        self.odds = [[0.5] * len(event.classes) for _ in event.plans]
+        for c in self.customers.values():
+            c.level = min(c.level, self._depth(c))
+        self._pump(now)
+
+    def _lent(self, event: Shares, now: float) -> None:
+        """What is taken back is gone at once; what is given fills with time."""
+        self.shares, self.floor = event.shares, event.floor
+        for c in self.customers.values():
+            self._fill(c, now)
+            c.share = self._share_of(c.key)
+            c.level = min(c.level, self._depth(c))
+
+    def _placed(self, event: Places, now: float) -> None:
+        self.places = event
+        self.sent_cold = {key: sent for key, sent in self.sent_cold.items() if key in event.slots}
+
+    def _share_of(self, key: int) -> float:
+        return self.shares.get(key, self.floor)
+
+    def _customer(self, ask: api.Request, now: float) -> Customer:
+        if (c := self.customers.pop(ask.customer, None)) is None:
+            plan, share = self.settings.plans[ask.plan], self._share_of(ask.customer)
+            # Guards the sum over a restart: what the process before took is not known, so it starts with what
+            # came in since.
+            c = Customer(ask.customer, ask.plan, 1.0, share, 0.0, store=plan.burst, filled=self.born,
+                         total_at=now, count_at=inf)
+        self.customers[ask.customer], c.seen, c.plan = c, now, ask.plan
+        return c
+
+    # Waiting
+
+    def _hold(self, t: Try, now: float) -> None:
+        super()._hold(t, now)
+        if not t.reached and t.ask.request in self.line.held:
+            t.last = min(t.last, t.came_at + HELD_PART * self.settings.classes[t.ask.cls].aim)
+            self.out += self.timers.wake(1 + 1, max(now, t.last), now)
+
+    def _refuse(self, t: Try, now: float, wait: float) -> None:
+        plan = self.settings.plans[t.customer.plan]
+        self._fill(t.customer, now)
+        over = not t.charged and plan.rate > 0.0 and t.customer.level < t.ask.units
+        super()._refuse(t, now, max(wait, ADVICE))
+        if isinstance(last := self.out[-1], api.Refuse):
+            last.over = over
+
+    # Whom to send to
+
+    def _choose(self, t: Try, now: float) -> Backend | None:
+        """The least expected time till the answer, distance included, among those with a slot for it."""
+        if not self._allowed(t, now):
+            return None
+        best, least = None, inf
+        typical = self.typical[t.ask.cls]
+        for b in self._ready(t.crowd):
+            key = b.entry.backend
+            if now < b.rest_until or t.avoid == key:
+                continue
+            slots, out = self.places.slots.get(key, 1), len(b.out)
+            if out >= slots * (1.0 + QUEUE):
+                continue
+            until, most = self.places.cold.get(key, (0.0, 0))
+            slow = self._slow(b, now)
+            if now < until:
+                if self._sent_lately(key, now) >= most:
+                    continue
+                slow *= 1.5
+            crowd = out * max(1.0, 0.5 * self.places.sharers) / slots
+            cost = self.places.far.get(key, 0.0) + typical * slow * (1.0 + crowd * crowd + 0.2 * self.random.random())
+            if cost < least:
+                best, least = b, cost
+        if best is not None and now < self.places.cold.get(best.entry.backend, (0.0, 0))[0]:
+            self.sent_cold.setdefault(best.entry.backend, deque()).append(now)
+        return best
+
+    def _sent_lately(self, key: object, now: float) -> int:
+        sent = self.sent_cold.get(key, ())
+        while sent and sent[0] < now - SECOND:
+            sent.popleft()
+        return len(sent)
+
+    def _place(self, t: Try, now: float) -> bool:
+        first = not t.attempts
+        if not first and not self._further(t, now):
+            return False
+        placed = super()._place(t, now)
+        if placed:
+            budget = self._budget(t, now)
+            if first:
+                budget.tokens = min(self.slack + 40.0, budget.tokens + 0.8 * self.ratio)
+            elif t.reached:
+                budget.tokens -= 1.0
+        return placed
+
+    def _budget(self, t: Try, now: float) -> Budget:
+        service = t.ask.cell.partition("|")[0]
+        budget = self.budgets.setdefault(service, Budget())
+        budget.fill(self.slack, self.span, now)
+        return budget
+
+    def _further(self, t: Try, now: float) -> bool:
+        """Whether one that a backend has had may be sent to another, by the budget that all share."""
+        return not t.reached or self._budget(t, now).tokens >= 1.0
+
+    def _again(self, t: Try, o: api.Outcome, now: float) -> bool:
+        t.avoid = o.backend
+        if t.attempts >= (t.ask.attempts or self.settings.max_attempts) or not self._further(t, now):
+            return False
+        return t.ran_at is None or self._allowed(t, now)
+
+    def _press(self, crowd, ratio: float, latency: float, now: float) -> None:
+        super()._press(crowd, ratio, latency, now)
+        crowd.window = max(WINDOW_LEAST, crowd.window)
+        crowd.rest_until = min(crowd.rest_until, now)
--- /dev/null
+++ b/fennelpoint/system/span/host.py
@@ -0,0 +1,62 @@
+"""The present host and pools, for the protocol of the whole system."""
+
+from __future__ import annotations
+
+from fennelpoint import interface as api
+from fennelpoint.net.backends import Backends, Exchange
+from fennelpoint.net.host import Host
+
+KEPT_PART = 0.6     # of the time that a backend keeps an idle connection
+OVER = 429
+
+
+class SystemBackends(Backends):
+    """Answers are told apart by the request's id, the backend's seal, and its word that it has not run it."""
+
+    def judge(self, exchange: Exchange, status: int, headers: list[tuple[bytes, bytes]]) -> api.Status | None:
+        named = sealed = turned_away = False
+        for name, value in headers:
+            if name == b"x-attempt-id":
+                if value != exchange.txn:
+                    return None     # another request's, come late
+                named = True
+            elif name == b"x-server-seal":
+                sealed = True
+            elif name == b"x-not-executed":
+                turned_away = True
+        if status == 421:
+            return api.Status.ELSEWHERE
+        if turned_away:
+            return api.Status.FULL
+        if 200 <= status < 300:
+            return api.Status.OK if named and sealed else None
+        return api.Status.ERROR if named and status >= 300 else None
+
+    def keeps_for(self, headers: list[tuple[bytes, bytes]]) -> float:
+        for name, value in headers:
+            if name == b"keep-alive":
+                for part in value.split(b","):
+                    word, _, number = part.strip().partition(b"=")
+                    if word.lower() == b"timeout" and number.isdigit():
+                        return KEPT_PART * int(number)
+        return super().keeps_for(headers)
+
+
+class SystemHost(Host):
+    """Gives a backend's own refusal or failure back unchanged where nothing better comes."""
+
+    def _refuse(self, refuse: api.Refuse) -> None:
+        if (ticket := self.tickets.get(refuse.request)) is not None:
+            if ticket.last is not None:
+                return self._finish(ticket, lambda client: client.served(ticket.last))
+            status = OVER if refuse.over else 503
+            self._finish(ticket, lambda client: client.refused(refuse.retry_after, status))
+
+    def _fail(self, fail: api.Fail) -> None:
+        if (ticket := self.tickets.get(fail.request)) is not None:
+            if ticket.last is not None:
+                return self._finish(ticket, lambda client: client.served(ticket.last))
+            self._finish(ticket, lambda client: client.failed())
+
+    def _expire(self, ticket) -> None:
+        super()._expire(ticket)
--- /dev/null
+++ b/fennelpoint/system/span/program.py
@@ -0,0 +1,239 @@
+"""The process of a front: the present server, host and pools, told by `tether.Tether` what holds."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import zlib
+from math import floor
+from random import Random
+
+from fennelpoint import interface as api
+from fennelpoint.bodies import Budget, budget_of
+from fennelpoint.descriptors import plan
+from fennelpoint.lifecycle import Event as Life
+from fennelpoint.lifecycle import LifeCycle, Step
+from fennelpoint.net.server import Server
+from fennelpoint.system.events import Event, say
+from fennelpoint.system.forms import compile_version
+from fennelpoint.system.mesh import Mesh
+from fennelpoint.system.roll.view import DRAINING, GONE
+from fennelpoint.system.settings import Settings, address
+from fennelpoint.system.span.decide import Catalogue, Decider, Places, Shares
+from fennelpoint.system.span.host import SystemBackends, SystemHost
+from fennelpoint.system.span.reader import SystemReader
+from fennelpoint.system.span.tether import Apply, Hold, Refresh, Send, Tether
+from fennelpoint.system.web import Asking, Reply, Web
+
+TICK = 0.05         # s
+SWEEP = 0.25        # s between looks at idle connections
+LOOK = 0.05         # s between looks at what an end has left to do
+SETTLE, END = 0.72, 0.93    # of the grace: clients still come; all is answered
+FAR_ZONE, FAR_REGION = 0.004, 0.08      # s that another zone or region costs in the choice
+CONNECT = 0.4       # s for a connection to a backend
+COLD_PART = 0.85    # of what a cold backend bears, given out in parts
+
+
+class Program:
+    """The parts of a running front."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, settings: Settings) -> None:
+        self.loop, self.settings, self.random = loop, settings, Random()
+        bounds, listen = settings.rule_bounds, settings.listen_addresses
+        room = plan(settings.limits.file_descriptors)
+        self.budget = Budget(budget_of(settings.limits.memory_mb))
+        given = api.Settings(0, 1, 0, [api.RequestClass("none", 1.0, 1.0, 1.0, api.Effect.UNSAFE)],
+                             [api.Plan("public", 1.0)], 8, 0.0, 1.0, 0.0, 1.0, 1.0, 0.0, 0.001, most_units=1.0,
+                             may_cancel=True, may_advise=True, max_advice=1.0, connect_timeout=CONNECT)
+        self.backends = SystemBackends(loop, room.upstream, CONNECT, 0.0, self.budget)
+        self.host = SystemHost(loop, given, self.random.getrandbits(32), self.backends, None, self.budget, Decider)
+        self.host.gate = self.allows
+        self.reader = SystemReader(self.grown, self.random)
+        self.reader.made.append(given.classes[0])
+        grace = bounds.grace_period_s
+        self.life = LifeCycle(time.monotonic(), SETTLE * grace, END * grace)
+        self.server = Server(loop, self.host, room, self.life, self.reader)
+        about = {"address": "%s:%d" % listen.public_http, "zone": settings.availability_zone,
+                 "region": settings.region, "life": self.random.getrandbits(40)}
+        self.tether = Tether(settings.ip_address, settings.availability_zone, settings.region, settings.zones,
+                             settings.seeds, about, time.monotonic())
+        self.mesh = Mesh(loop, "span", settings.ip_address, settings.internal_ports, self.take, self.linked)
+        self.web = Web(loop, self.call)
+        self.evac: frozenset = frozenset()
+        self.restored: dict[str, float] = {}    # zones that were taken back, and until when they count as cold
+        self.count = 0
+        self.stopped, self.looking = loop.create_future(), False
+
+    def allows(self) -> bool:
+        return self.tether.allows(time.monotonic())
+
+    async def start(self) -> None:
+        listen = self.settings.listen_addresses
+        await self.server.listen(listen.public_http)
+        await self.web.listen("readiness", listen.readiness)
+        await self.mesh.start()
+        self.host.post(api.Barred(True))
+        self._tick()
+        self._sweep()
+
+    def call(self, asking: Asking) -> None:
+        asking.answer(Reply(200 if self.life.ready and self.allows() else 503))
+
+    # Ties to the core
+
+    def _tick(self) -> None:
+        self.loop.call_later(TICK, self._tick)
+        self.carry_out(self.tether.tick(time.monotonic()))
+        self.mesh.dial(self.tether.peers())
+
+    def take(self, peer: str, message: list) -> None:
+        self.carry_out(self.tether.heard(peer, message, time.monotonic()))
+
+    def linked(self, peer: str, up: bool) -> None:
+        self.carry_out(self.tether.linked(peer, up, time.monotonic()))
+
+    def carry_out(self, actions: list) -> None:
+        for action in actions:
+            match action:
+                case Send(to, message):
+                    self.mesh.send(to, message)
+                case Apply(version, data):
+                    self._apply(version, data)
+                case Refresh():
+                    self._refresh()
+                case Hold(held, reason):
+                    self._hold(held, reason)
+        if self.tether.count != self.count:
+            self.count = self.tether.count
+            self._lend()
+
+    def _hold(self, held: bool, reason: str) -> None:
+        now = time.monotonic()
+        if not held:
+            say(Event.LAPSED, node=self.settings.node_name, reason=reason)
+        self.host.post(api.Barred(not held))
+        if held and not self.life.listed:
+            self.life.handle(Life.LISTED, now)
+            say(Event.READY, node=self.settings.node_name)
+        elif not self.life.ending:
+            self.life.handle(Life.ADMIT if held else Life.BAR, now)
+            self.look()
+        self.tether.ready = self.life.ready
+        self.carry_out(self.tether.say(now))
+
+    def _apply(self, number: int, data: bytes) -> None:
+        version = compile_version(zlib.decompress(data))
+        self.reader.take(version)
+        self.server.idle_timeout = max(5.0, version.limits.idle_timeout_s)
+        self.server.head_timeout = max(2.5, version.limits.header_timeout_s)
+        self.grown()
+        self._refresh()
+        say(Event.APPLIED, node=self.settings.node_name, version=number)
+
+    def grown(self) -> None:
+        """A version, a class or a cell that is new: the module hears of all."""
+        plans = [api.Plan("public", 1.0)] + [
+            api.Plan(h.name, 8.0 ** -min(h.priority, 10), h.rate, h.burst) for h in self.reader.holders]
+        self.host.post(Catalogue(list(self.reader.made), plans))
+        self._cells()
+
+    def _cells(self) -> None:
+        cells, regions = {}, self.settings.zones
+        for cell, (service, homes) in self.reader.cells.items():
+            cells[cell] = api.Cell(frozenset(
+                id for id, b in self.tether.backends.known.items() if b.told.service == service
+                and (homes is None or regions.get(b.told.zone) in homes)))
+        self.host.post(api.Cells(cells))
+
+    def _refresh(self) -> None:
+        """The list as it is now, for the sockets and the module."""
+        now, tether = time.monotonic(), self.tether
+        for zone in self.evac - tether.evac:
+            self.restored[zone] = now
+        self.evac = tether.evac
+        entries, addresses = [], {}
+        for id, b in tether.backends.known.items():
+            told = b.told
+            try:
+                addresses[id] = address(told.address)
+            except ValueError:
+                continue
+            state = api.BackendState.READY
+            if told.state == GONE:
+                state = api.BackendState.GONE
+            elif told.state == DRAINING or b.lost or told.zone in tether.evac:
+                state = api.BackendState.DRAINING
+            entries.append(api.BackendEntry(id, state))
+        self._place(now)
+        self._cells()
+        self.host.follow(api.Roster(api.RosterKind.FULL, 0, entries), addresses)
+
+    def _place(self, now: float) -> None:
+        far, slots, cold = {}, {}, {}
+        settings, bounds = self.settings, self.settings.rule_bounds
+        clusters = self.reader.version.clusters if self.reader.version is not None else {}
+        for id, b in self.tether.backends.known.items():
+            zone = b.told.zone
+            region = settings.zones.get(zone)
+            far[id] = FAR_REGION if region != settings.region else FAR_ZONE if zone != (
+                settings.availability_zone) else 0.0
+            slots[id] = max(1, b.told.slots)
+            cluster = clusters.get(b.told.service)
+            until = b.cold_until
+            if cluster is not None and zone in self.restored:
+                until = max(until, self.restored[zone] + cluster.cold_start_s)
+            if cluster is not None and until > now:
+                most = (cluster.cold_rate_s * bounds.cold_overshoot + bounds.cold_slack) * COLD_PART
+                cold[id] = (until, max(1, floor(most / max(1, self.count))))
+        self.host.post(Places(far, slots, cold, max(1.0, self.count / 3.0)))
+
+    def _lend(self) -> None:
+        self.host.controller.slack = 0.8 * self.settings.rule_bounds.budget_slack / self.count
+        self.host.post(Shares({}, 1.0 / self.count))
+        self._place(time.monotonic())
+
+    # Start and stop
+
+    def _sweep(self) -> None:
+        self.loop.call_later(SWEEP, self._sweep)
+        self.server.sweep()
+        self.backends.sweep()
+
+    def reload(self, settings: Settings) -> None:
+        self.tether.seeds = settings.seeds
+
+    def stop(self) -> None:
+        if not self.life.ending:
+            say(Event.STOP, node=self.settings.node_name)
+            self.life.handle(Life.TERM, time.monotonic())
+            self.tether.ready = False
+            self.carry_out(self.tether.say(time.monotonic()))
+            self.look()
+
+    def look(self) -> None:
+        if not self.looking:
+            self._look()
+
+    def _look(self) -> None:
+        steps = self.life.look(time.monotonic(), len(self.server.connections), self.host.waiting)
+        if Step.STOP_ACCEPTING in steps:
+            self.server.stop_listening()
+        if Step.CLOSE_IDLE in steps:
+            self.server.close_idle()
+        if Step.FAIL_OPEN in steps:
+            self.host.fail_all()
+        if Step.EXIT in steps:
+            self.loop.call_later(LOOK, self._end)
+        self.looking = not self.life.keeps and Step.EXIT not in steps
+        if self.looking:
+            self.loop.call_later(LOOK, self._look)
+
+    def _end(self) -> None:
+        if not self.stopped.done():
+            self.stopped.set_result(None)
+
+    def close(self) -> None:
+        self.mesh.close()
+        self.web.close()
+        self.server.close()
+        self.backends.close()
--- /dev/null
+++ b/fennelpoint/system/span/tether.py
@@ -0,0 +1,225 @@
+"""The decider of a front's ties to the core: its lease, what it was told, and by whom.
+
+The lease is counted on this machine's steady clock from the sending of the ask.  It is extended only once what was
+newest at the ask is in force here: so a front that can't hear stops before a bound of the rules ends.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from fennelpoint.system.mesh import ip_of, name
+from fennelpoint.system.roll.view import Backends, Told
+
+LIFE = 4.2          # s of a lease, from the sending of the ask
+RENEW = 0.5         # s between asks
+PATIENCE = 0.4      # s without an answer after which another core machine is asked, too
+AGAIN = 0.6         # s after which a content is asked for anew
+
+
+@dataclass(slots=True)
+class Send:
+    to: str
+    message: list
+
+
+@dataclass(slots=True)
+class Apply:
+    """Go by this configuration from now on."""
+
+    version: int
+    data: bytes
+
+
+@dataclass(slots=True)
+class Refresh:
+    """The list or the evacuated zones have changed."""
+
+
+@dataclass(slots=True)
+class Hold:
+    """Whether there is a lease from now on."""
+
+    held: bool
+    reason: str = ""
+
+
+@dataclass(slots=True)
+class Tether:
+    """What one front holds."""
+
+    me: str
+    zone: str
+    region: str
+    regions: dict[str, str]
+    seeds: list[str]
+    about: dict             # what each ask tells of us: address, zone, region, life
+    born: float
+    backends: Backends = field(default_factory=Backends)
+    rev: int = -1
+    version: int = 0
+    digest: str = ""
+    evac: frozenset = frozenset()
+    core: dict[str, str] = field(default_factory=dict)  # zones by IP address
+    applied: str = ""       # digest of the configuration in force here
+    until: float = 0.0      # end of the lease
+    held: bool = False
+    ready: bool = False
+    count: int = 1          # fronts that may hold parts
+    lists: set[str] = field(default_factory=set)    # core machines whose whole list came
+    up: set[str] = field(default_factory=set)
+    asked_at: float = -1e9
+    answered_at: float = -1e9
+    helped: bool = False    # the second one was asked, too
+    pending: dict[str, list] = field(default_factory=dict)  # leases that wait for a content: until, by digest
+    wanted_at: float = -1e9
+    out: list = field(default_factory=list)
+
+    # Whom to hear
+
+    def order(self) -> list[str]:
+        """Core machines, the nearest first; where nothing is known of them, the seeds."""
+        zones = {ip: "" for ip in self.seeds} | self.core
+
+        def far(ip: str) -> tuple:
+            zone = zones[ip]
+            return (zone != self.zone, self.regions.get(zone) != self.region, ip)
+
+        return sorted(zones, key=far)
+
+    def peers(self) -> set[str]:
+        """Those to hold connections to: the nearest, and one in each of two other regions."""
+        order, chosen, regions = self.order(), [], set()
+        if not self.core:
+            return {name("roll", ip) for ip in order}
+        for ip in order:
+            region = self.regions.get(self.core.get(ip, ""), ip)
+            if region not in regions or ip == order[0]:
+                regions.add(region)
+                chosen.append(ip)
+        return {name("roll", ip) for ip in chosen[:3]}
+
+    # Events
+
+    def linked(self, peer: str, up: bool, now: float) -> list:
+        if up:
+            self.up.add(peer)
+            known = [b.now(now).pack() for b in self.backends.known.values()]
+            self._send(peer, ["front", known])
+            if now - self.answered_at > PATIENCE:
+                self._ask([peer], now)
+        else:
+            self.up.discard(peer)
+            self.lists.discard(peer)
+        return self._done()
+
+    def heard(self, peer: str, message: list, now: float) -> list:
+        kind, *rest = message
+        do = getattr(self, f"_on_{kind}", None)
+        if do is not None:
+            do(peer, now, *rest)
+        return self._done()
+
+    def tick(self, now: float) -> list:
+        reached = [p for p in (name("roll", ip) for ip in self.order()) if p in self.up]
+        if now - self.asked_at >= RENEW and reached:
+            self._ask(reached[:1], now)
+            self.helped = False
+        elif not self.helped and len(reached) > 1 and self.answered_at < self.asked_at < now - PATIENCE:
+            self.helped = True
+            self._ask(reached[1:], now, again=True)
+        if self.pending and now - self.wanted_at > AGAIN:
+            self._want(now)
+        if self.held and now >= self.until:
+            self.held = False
+            self.out.append(Hold(False, "no core machine answers"))
+        return self._done()
+
+    def say(self, now: float) -> list:
+        """Tell at once that something of ours has changed."""
+        self._ask([p for p in (name("roll", ip) for ip in self.order()) if p in self.up][:2], now)
+        return self._done()
+
+    def _done(self) -> list:
+        out, self.out = self.out, []
+        return out
+
+    def _send(self, to: str, message: list) -> None:
+        self.out.append(Send(to, message))
+
+    def _ask(self, peers: list[str], now: float, again: bool = False) -> None:
+        if not again:
+            self.asked_at = now
+        for peer in peers:
+            self._send(peer, ["ask", now, {**self.about, "ready": self.ready}])
+
+    # What is told
+
+    def _on_list(self, peer: str, now: float, life: int, number: int, items: list, whole: bool) -> None:
+        changed = False
+        for *item, lost in items:
+            told = Told(*item)
+            changed = self.backends.fold(told, now) or changed
+            b = self.backends.known[told.id]
+            if b.lost is not lost and told.age < 3600 and (lost is False or now - b.heard > 2.0):
+                b.lost, changed = lost, True
+        if whole:
+            self.lists.add(peer)
+        if changed or whole:
+            self.out.append(Refresh())
+
+    def _on_world(self, peer: str, now: float, rev: int, version: int, digest: str, evac: list, core: dict) -> None:
+        self.core = core
+        self._newest(rev, version, digest, evac, now)
+
+    def _newest(self, rev: int, version: int, digest: str, evac: list, now: float) -> None:
+        if rev <= self.rev:
+            return
+        self.rev, self.version, self.digest = rev, version, digest
+        if frozenset(evac) != self.evac:
+            self.evac = frozenset(evac)
+            self.out.append(Refresh())
+        if digest and digest != self.applied:
+            self.pending.setdefault(digest, [0.0])
+            self._want(now)
+
+    def _want(self, now: float) -> None:
+        self.wanted_at = now
+        for peer in [p for p in (name("roll", ip) for ip in self.order()) if p in self.up][:2]:
+            self._send(peer, ["need", self.digest])
+
+    def _on_content(self, peer: str, now: float, digest: str, data: bytes) -> None:
+        if digest != self.digest or digest == self.applied:
+            return
+        self.applied = digest
+        self.out.append(Apply(self.version, data))
+        waits = self.pending.get(digest, [0.0])
+        self.pending.clear()
+        self._extend(max(waits), now)
+
+    def _on_lease(self, peer: str, now: float, stamp: float, rev: int, version: int, digest: str, evac: list,
+                  count: int) -> None:
+        """The newest there was when we asked, at `stamp` on our own clock."""
+        self.answered_at = max(self.answered_at, stamp)
+        self.count = max(1, count)
+        self._newest(rev, version, digest, evac, now)
+        if rev > self.rev or not self.digest:
+            return
+        if self.applied == self.digest:
+            self._extend(stamp + LIFE, now)
+        elif rev == self.rev:
+            self.pending.setdefault(self.digest, [0.0]).append(stamp + LIFE)
+
+    def _extend(self, until: float, now: float) -> None:
+        self.until = max(self.until, until)
+        if not self.held and now < self.until and self.lists:
+            self.held = True
+            self.out.append(Hold(True))
+
+    def allows(self, now: float) -> bool:
+        """Whether anything may be sent on."""
+        return self.held and now < self.until
+
+
+def core_ip(peer: str) -> str:
+    return ip_of(peer)
--- /dev/null
+++ b/fennelpoint/system/writ/keeper.py
@@ -0,0 +1,480 @@
+"""The decider of one core machine's store: promises, votes, rounds of its own, reads, and coming back without a disk.
+
+Events with the time in, actions out.  Peers are core machines by IP address; `roll` stands for the registry beside
+it.  A message goes out only after what it says is on disk: `Save` comes before `Send` in the list.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from fennelpoint.fleet.agree import _ballot
+from fennelpoint.fleet.register import (
+    ZERO,
+    Accept,
+    Ballot,
+    Cell,
+    Groups,
+    Hello,
+    Keeper,
+    Known,
+    Peek,
+    Prepare,
+    Rejoin,
+    Round,
+    Seen,
+    Voted,
+    handle,
+    holds,
+)
+from fennelpoint.system.writ.world import (
+    Change,
+    configure,
+    empty,
+    enrol,
+    evacuate,
+    groups_of,
+    same,
+    settle,
+    stand_by,
+)
+
+KEY = "world"
+ROUND, READ, SPREAD = 0.5, 0.35, 0.8     # s for a round's answers, a read's, a content's
+GIVE_UP = 3.5           # s after which a change has no clear answer
+READ_LIFE = 2.0         # s that a read is tried
+PAUSE = (0.015, 0.09)   # s between two rounds that got into each other's way
+REJOIN = 0.4            # s between tries to come back
+STAND_BY = 0.5          # s between tries to become a voter
+
+
+@dataclass(slots=True)
+class Send:
+    to: str
+    message: list
+
+
+@dataclass(slots=True)
+class Save:
+    """On disk before anything after it goes out; `whole`: all of it, else what changed."""
+
+    keeper: Keeper
+    whole: bool = False
+    cell: bool = True
+
+
+@dataclass(slots=True)
+class SaveContent:
+    digest: str
+    data: bytes
+
+
+@dataclass(slots=True)
+class Note:
+    """Something for the log: the event's name and its fields."""
+
+    event: str
+    fields: dict
+
+
+Action = Send | Save | SaveContent | Note
+ROLL = "roll"
+
+
+@dataclass(slots=True)
+class Job:
+    """A change under way: for whom, until when, and the round that it is in."""
+
+    change: Change
+    token: object           # of the one who asked; None: our own
+    since: float
+    data: bytes = b""
+    round: Round | None = None
+    number: int = 0         # of the round, in messages
+    until: float = 0.0      # the round, or the spreading of its content, has until then
+    holders: frozenset[str] = frozenset()   # have the content
+    asked: frozenset[str] = frozenset()
+    not_before: float = 0.0
+    rose: bool = False      # its answer is a read for these tokens
+    tokens: list = field(default_factory=list)
+
+
+class Store:
+    """One core machine's part of the store."""
+
+    def __init__(self, me: str, zone: str, regions: dict[str, str], seeds: list[str], keeper: Keeper,
+                 founds: bool, content: Callable[[str], bytes | None], random: Random, now: float) -> None:
+        self.me, self.zone, self.regions, self.seeds, self.random = me, zone, regions, seeds, random
+        self.keeper, self.content = keeper, content
+        self.peers: set[str] = set(seeds) - {me}
+        self.world: dict = {}       # the newest that is known to be agreed
+        self.at: Ballot = ZERO
+        self.jobs: deque[Job] = deque()
+        self.highest = keeper.cells.get(KEY, Cell()).promised[0]
+        self.numbers = 0
+        self.told = 0           # revision that all were told of
+        self.reading: dict | None = None
+        self.readers: list[tuple[object, float]] = []   # wait for the next read
+        self.rejoin: Rejoin | None = None
+        self.rejoin_at = self.stand_at = now
+        self.wanted: dict[str, float] = {}  # contents that are asked for, and when again
+        self.out: list[Action] = []
+        self.born = now
+        self.ill = ""           # the disk refuses: no vote until it takes writes again
+        if not keeper.votes:
+            if founds:
+                self.keeper = Keeper(me, 1, True, {}, {})
+                self.out.append(Save(self.keeper, whole=True))
+                self.out.append(Note("FOUNDED", {"voters": ", ".join(sorted(seeds))}))
+            else:
+                self.rejoin = Rejoin(me, 0, {}, groups=(frozenset(seeds),), groups_of=groups_of)
+                self.out.append(Note("REJOINING", {"node": me, "peers": ", ".join(sorted(self.peers))}))
+        self._members()
+
+    # What is known of the members
+
+    def _founders(self) -> dict[str, str]:
+        return {ip: "" for ip in self.seeds}
+
+    def groups(self) -> Groups:
+        """Whose majorities to ask, by all that is known here."""
+        held = self.keeper.cells.get(KEY, Cell()).value
+        known = max((w for w in (held, self.world) if w), key=lambda w: w["rev"], default=None)
+        return groups_of(known) or (frozenset(self.seeds),)
+
+    def _members(self) -> None:
+        held = self.keeper.cells.get(KEY, Cell()).value
+        for world in (held, self.world):
+            for part in ("voters", "before", "ready") if world else ():
+                self.peers.update(world[part])
+        self.peers.discard(self.me)
+
+    @property
+    def settled(self) -> bool:
+        return self.rejoin is None
+
+    # Events
+
+    def heard(self, peer: str, message: list, now: float) -> list[Action]:
+        """A message of another core machine's store, or of the registry here."""
+        kind, *rest = message
+        do = getattr(self, f"_on_{kind}", None)
+        if do is not None:
+            do(peer, now, *rest)
+        return self._done()
+
+    def tick(self, now: float) -> list[Action]:
+        """Each few hundredths of a second: what is due."""
+        self._run(now)
+        if self.reading is not None and now >= self.reading["until"]:
+            voting = frozenset(s.name for s in self.reading["answers"].values() if s.ok)
+            if holds(voting, self.groups()) and not self.jobs:
+                self._by_round(now)
+            else:
+                again, self.reading = self.reading["tokens"], None
+                self.readers = again + self.readers
+                self._begin_read(now)
+        for token, since in [r for r in self.readers if now - r[1] > READ_LIFE]:
+            self.readers.remove((token, since))
+            self._send(ROLL, ["newest", token, None])
+        if self.rejoin is not None and now >= self.rejoin_at:
+            self.rejoin_at = now + REJOIN
+            hello = self.rejoin.message
+            for peer in sorted(self.peers):
+                self._send(peer, ["hail", hello.name, hello.life])
+        elif self.rejoin is None and self.world and now >= self.stand_at:
+            self.stand_at = now + STAND_BY * self.random.uniform(0.8, 1.6)
+            voters = self.world["voters"]
+            if voters.get(self.me) != self.zone and (self.me in voters or self.me not in self.world["ready"]):
+                self._add(Job(stand_by(self.me, self.zone, self.regions), None, now), now)
+            elif self.world["before"] and min(self.world["voters"]) == self.me:
+                self._add(Job(settle(), None, now), now)
+        if self.world and (digest := self.world["digest"]) and self.content(digest) is None:
+            self._want(digest, now)
+        return self._done()
+
+    def _done(self) -> list[Action]:
+        out, self.out = self.out, []
+        return out
+
+    def _send(self, to: str, message: list) -> None:
+        self.out.append(Send(to, message))
+
+    def sick(self, reason: str) -> None:
+        """The disk refused a write: nothing that it should hold may be said any more."""
+        self.ill = reason
+
+    # As a keeper: what others' rounds ask
+
+    def _handle(self, message) -> object:
+        keeper, answer = handle(self.keeper, message)
+        if keeper is not self.keeper:
+            self.keeper = keeper
+            self.out.append(Save(keeper, cell=not isinstance(message, Hello)))
+        return answer
+
+    def _on_prepare(self, peer: str, now: float, number: int, ballot: list) -> None:
+        seen = self._handle(Prepare(KEY, _ballot(ballot)))
+        self.highest = max(self.highest, ballot[0])
+        self._send(peer, ["seen", number, seen.name, seen.life, seen.ok, seen.promised, seen.accepted, seen.value])
+
+    def _on_peek(self, peer: str, now: float, number: int, known: list) -> None:
+        seen = self._handle(Peek(KEY))
+        value = None if seen.accepted == _ballot(known) else seen.value
+        self._send(peer, ["peeked", number, seen.name, seen.life, seen.ok, seen.promised, seen.accepted, value])
+
+    def _on_accept(self, peer: str, now: float, number: int, ballot: list, value: dict, lives: list) -> None:
+        voted = self._handle(Accept(KEY, _ballot(ballot), value, tuple((n, life) for n, life in lives)))
+        self._send(peer, ["voted", number, voted.name, voted.life, voted.ok, voted.promised])
+        self._members()
+
+    def _on_hail(self, peer: str, now: float, name: str, life: int) -> None:
+        known = self._handle(Hello(name, life))
+        cells = [[c.promised, c.accepted, c.value] for key, c in known.cells if key == KEY]
+        self._send(peer, ["known", known.name, known.votes, known.lives, cells, self.world, self.at])
+        self.peers.add(name)
+        self.peers.discard(self.me)
+
+    # Contents
+
+    def _on_store(self, peer: str, now: float, number: int, digest: str, data: bytes) -> None:
+        if self.content(digest) is None:
+            self.out.append(SaveContent(digest, data))
+        self._send(peer, ["stored", number, self.me, digest])
+
+    def _on_fetch(self, peer: str, now: float, digest: str) -> None:
+        if (data := self.content(digest)) is not None:
+            self._send(peer, ["content", digest, data])
+
+    def _on_content(self, peer: str, now: float, digest: str, data: bytes) -> None:
+        if self.wanted.pop(digest, None) is not None and self.content(digest) is None:
+            self.out.append(SaveContent(digest, data))
+            self._send(ROLL, ["content", digest, data])
+
+    def _want(self, digest: str, now: float) -> None:
+        if now >= self.wanted.get(digest, 0.0):
+            self.wanted[digest] = now + 0.5
+            others = sorted(self.peers)
+            for peer in self.random.sample(others, min(2, len(others))):
+                self._send(peer, ["fetch", digest])
+
+    # Coming back without a disk
+
+    def _on_known(self, peer: str, now: float, name: str, votes: bool, lives: list, cells: list,
+                  world: dict, at: list) -> None:
+        if world:
+            self._learn(_ballot(at), world)
+        if self.rejoin is None:
+            return
+        for _, _, value in cells:
+            for part in ("voters", "before", "ready") if value else ():
+                self.peers.update(set(value[part]) - {self.me})
+        known = Known(name, votes, tuple((n, int(life)) for n, life in lives),
+                      tuple((KEY, Cell(_ballot(p), _ballot(a), v)) for p, a, v in cells))
+        before, self.rejoin = self.rejoin, self.rejoin.heard(known)
+        if self.rejoin.message != before.message:
+            self.rejoin_at = now    # the new life is told at once
+        if (keeper := self.rejoin.keeper) is not None:
+            self.keeper, self.rejoin = keeper, None
+            self.highest = max(self.highest, keeper.cells.get(KEY, Cell()).promised[0])
+            self.out.append(Save(keeper, whole=True))
+            self.out.append(Note("REJOINED", {"node": self.me, "life": keeper.life}))
+            self._members()
+
+    # Rounds of our own
+
+    def _add(self, job: Job, now: float) -> None:
+        self.jobs.append(job)
+        self._run(now)
+
+    def _run(self, now: float) -> None:
+        """Go on with the change that is first in line."""
+        while self.jobs and now - self.jobs[0].since > GIVE_UP:
+            self._finish(self.jobs.popleft(), None)
+        if not self.jobs or self.rejoin is not None or self.ill:
+            return
+        job = self.jobs[0]
+        if now < job.not_before or now < job.until:
+            return
+        if job.change.digest and not holds(job.holders, self.groups()):
+            return self._spread(job, now)
+        self.highest += 1
+        self.numbers += 1
+        ballot = (self.highest, self.me)
+        founders = empty(self._founders())
+        change = lambda value: job.change(value or founders)    # noqa: E731
+        job.round = Round(KEY, ballot, change, 0, groups=self.groups(), groups_of=groups_of)
+        job.number, job.until, job.asked = self.numbers, now + ROUND, frozenset()
+        self._prepare(job, now)
+
+    def _prepare(self, job: Job, now: float) -> None:
+        new = job.round.whom - job.asked
+        job.asked = job.asked | new
+        for name in sorted(new):
+            if name != self.me:
+                self._send(name, ["prepare", job.number, job.round.ballot])
+        if self.me in new:
+            self._hear(self._handle(job.round.first), now)
+
+    def _spread(self, job: Job, now: float) -> None:
+        self.numbers += 1
+        job.number, job.until, job.round = self.numbers, now + SPREAD, None
+        if self.content(job.change.digest) is None:
+            self.out.append(SaveContent(job.change.digest, job.data))
+        job.holders |= {self.me}
+        for name in sorted(frozenset().union(*self.groups()) - job.holders):
+            self._send(name, ["store", job.number, job.change.digest, job.data])
+        if holds(job.holders, self.groups()):
+            job.until = 0.0
+            self._run(now)
+
+    def _on_want(self, peer: str, now: float, digest: str) -> None:
+        """The registry here needs a content."""
+        if (data := self.content(digest)) is not None:
+            self._send(ROLL, ["content", digest, data])
+        else:
+            self._want(digest, now)
+
+    def _on_change(self, peer: str, now: float, token: object, kind: str, args: list, data: bytes) -> None:
+        made = {"put": configure, "evacuate": evacuate, "enrol": enrol}[kind](*args)
+        self._add(Job(made, token, now, data), now)
+
+    def _on_stored(self, peer: str, now: float, number: int, name: str, digest: str) -> None:
+        if self.jobs and (job := self.jobs[0]).change.digest == digest:
+            job.holders |= {name}
+            if job.round is None and holds(job.holders, self.groups()):
+                job.until = 0.0
+                self._run(now)
+
+    def _on_seen(self, peer: str, now: float, number: int, name: str, life: int, ok: bool, promised: list,
+                 accepted: list, value: object) -> None:
+        if not self.jobs or self.jobs[0].number != number or self.jobs[0].round is None:
+            return
+        seen = Seen(name, life, ok, _ballot(promised), _ballot(accepted), value)
+        one = self.jobs[0].round
+        if ok and one.sent is not None and seen.promised == one.ballot and name not in one.asks:
+            # Too late for the quorum, in time for the value: it is to hold what the others do.
+            lives = tuple(sorted({*one.sent.lives, (name, life)}))
+            return self._send(name, ["accept", number, one.ballot, one.sent.value, lives])
+        self._hear(seen, now)
+
+    def _on_voted(self, peer: str, now: float, number: int, name: str, life: int, ok: bool, promised: list) -> None:
+        if self.jobs and self.jobs[0].number == number and self.jobs[0].round is not None:
+            self._hear(Voted(name, life, ok, _ballot(promised)), now)
+
+    def _hear(self, answer: Seen | Voted, now: float) -> None:
+        job = self.jobs[0]
+        before = job.round
+        job.round = before.heard(answer)
+        self.highest = max(self.highest, job.round.highest[0])
+        if job.round.sent is None:
+            return self._lost(job, now) if job.round.lost else self._prepare(job, now) if (
+                job.round.whom - job.asked) else None
+        if before.sent is None:
+            sent = job.round.sent
+            for name in sorted(job.round.asks - {self.me}):
+                self._send(name, ["accept", job.number, sent.ballot, sent.value, sent.lives])
+            if self.me in job.round.asks:
+                return self._hear(self._handle(sent), now)
+        if job.round.done:
+            self.jobs.popleft()
+            self._finish(job, job.round.sent)
+            self._members()
+            self._run(now)
+        elif job.round.lost:
+            self._lost(job, now)
+
+    def _lost(self, job: Job, now: float) -> None:
+        job.round, job.until = None, 0.0
+        job.not_before = now + self.random.uniform(*PAUSE)
+
+    def _finish(self, job: Job, sent: Accept | None) -> None:
+        """Tell what became of a change."""
+        if sent is not None:
+            self._learn(sent.ballot, sent.value)
+            if sent.value["rev"] > self.told:
+                self.told = sent.value["rev"]
+                for peer in sorted(self.peers):
+                    self._send(peer, ["learn", sent.ballot, sent.value])
+            for token, _ in job.tokens:
+                self._send(ROLL, ["newest", token, sent.value])
+        else:
+            self.readers = job.tokens + self.readers
+        if job.token is not None:
+            outcome = job.change.outcome
+            status, reason = (outcome.status, outcome.reason) if sent is not None else (503, "no majority answers")
+            self._send(ROLL, ["changed", job.token, status, reason, sent.value if sent is not None else None])
+
+    def _on_learn(self, peer: str, now: float, ballot: list, value: dict) -> None:
+        self.told = max(self.told, value["rev"])
+        self._learn(_ballot(ballot), value)
+
+    def _learn(self, ballot: Ballot, world: dict) -> None:
+        if not self.world or world["rev"] > self.world["rev"]:
+            if self.world and world["voters"] != self.world["voters"]:
+                self.out.append(Note("VOTERS", {"voters": ", ".join(sorted(world["voters"]))}))
+            if not self.world or world["version"] != self.world["version"]:
+                self.out.append(Note("DECIDED", {"version": world["version"], "rev": world["rev"]}))
+            if self.world and world["evac"] != self.world["evac"]:
+                self.out.append(Note("EVACUATED", {"zones": ", ".join(world["evac"]) or "none"}))
+            self.world, self.at = world, ballot
+            self._members()
+            self._send(ROLL, ["world", world])
+        elif world["rev"] == self.world["rev"]:
+            self.at = max(self.at, ballot)
+
+    # Reads: the newest there was when it was asked
+
+    def _on_read(self, peer: str, now: float, token: object) -> None:
+        self.readers.append((token, now))
+        self._begin_read(now)
+
+    def _begin_read(self, now: float) -> None:
+        if self.reading is not None or not self.readers or self.rejoin is not None and not self.peers:
+            return
+        tokens, self.readers = self.readers, []
+        self.numbers += 1
+        whom = frozenset().union(*self.groups())
+        self.reading = {"number": self.numbers, "tokens": tokens, "until": now + READ, "answers": {}, "whom": whom}
+        cell = self.keeper.cells.get(KEY, Cell())
+        self.reading["cell"] = cell
+        for name in sorted(whom - {self.me}):
+            self._send(name, ["peek", self.numbers, cell.accepted])
+        if self.me in whom:
+            self._peeked(self._handle(Peek(KEY)), now)
+
+    def _on_peeked(self, peer: str, now: float, number: int, name: str, life: int, ok: bool, promised: list,
+                   accepted: list, value: object) -> None:
+        if self.reading is None or self.reading["number"] != number:
+            return
+        cell = self.reading["cell"]
+        value = cell.value if _ballot(accepted) == cell.accepted else value
+        self._peeked(Seen(name, life, ok, _ballot(promised), _ballot(accepted), value), now)
+
+    def _peeked(self, seen: Seen, now: float) -> None:
+        reading = self.reading
+        answers = reading["answers"]
+        answers[seen.name] = seen
+        newest = max((s for s in answers.values() if s.ok), key=lambda s: s.accepted, default=None)
+        if newest is None:
+            return
+        alike = frozenset(s.name for s in answers.values() if s.ok and s.accepted == newest.accepted)
+        groups = groups_of(newest.value) or self.groups()
+        if holds(alike, groups):
+            self.reading = None
+            world = newest.value or empty(self._founders())
+            self._learn(newest.accepted, world)
+            for token, _ in reading["tokens"]:
+                self._send(ROLL, ["newest", token, world])
+            return self._begin_read(now)
+        voting = frozenset(s.name for s in answers.values() if s.ok)
+        if all(reading["whom"] & g <= answers.keys() for g in groups) and holds(voting, groups):
+            self._by_round(now)     # all answered, and no majority holds the same: a round tells
+
+    def _by_round(self, now: float) -> None:
+        reading, self.reading = self.reading, None
+        self._add(Job(same(), None, now, tokens=reading["tokens"]), now)
+        self._begin_read(now)
--- /dev/null
+++ b/fennelpoint/system/writ/world.py
@@ -0,0 +1,122 @@
+"""The one agreed value, and the changes that may be made to it.
+
+All that must outlast machines is one small value with a revision: which configuration is newest (by the digest of
+its bytes), which zones are evacuated, which core machines vote, which fronts may hold parts.  Plain dicts, for the
+register; a change maps one to the next, or leaves it and says why.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from fennelpoint.fleet.register import Groups
+
+PAST = 48       # changes that are remembered, to tell one that is sent again
+MOST_VOTERS = 5
+MOST_IN_REGION = 2
+
+
+def empty(voters: dict[str, str]) -> dict:
+    """What a core that was just founded agrees on; `voters` are zones by IP address."""
+    return {"rev": 0, "voters": voters, "before": {}, "ready": {}, "version": 0, "digest": "", "past": [],
+            "evac": [], "fronts": {}}
+
+
+def groups_of(world: object) -> Groups:
+    """Whose majorities a value needs: those of its voters, and of those before them while they change."""
+    if not world:
+        return ()
+    sets = (frozenset(world["voters"]), frozenset(world["before"]))
+    return tuple(s for s in sets if s)
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What became of a change: an HTTP status, and why."""
+
+    status: int = 503
+    reason: str = "nothing was agreed"
+
+
+@dataclass(slots=True)
+class Change:
+    """One change; `make` gives the next value, or the same one, and sets the outcome."""
+
+    make: Callable[[dict, Outcome], dict]
+    digest: str = ""        # of the content that a majority must have first
+    outcome: Outcome = field(default_factory=Outcome)
+
+    def __call__(self, world: dict) -> dict:
+        self.outcome.status, self.outcome.reason = 200, ""
+        made = self.make(world, self.outcome)
+        if made is world:
+            return world
+        # A new value ends the change of members before it: the majority of both is behind us.
+        before = {} if made["voters"].keys() == world["voters"].keys() else world["voters"]
+        return {**made, "rev": world["rev"] + 1, "before": before}
+
+
+def configure(version: int, base: int, sent: str, digest: str) -> Change:
+    """A configuration in place of version `base`; `sent` tells the very call, for when it comes again."""
+    def make(world: dict, outcome: Outcome) -> dict:
+        if [version, sent] in world["past"]:
+            return world    # it was taken: its answer was lost
+        if base != world["version"]:
+            outcome.status, outcome.reason = 412, f"version {world['version']} is in place, not {base}"
+            return world
+        if version <= world["version"]:
+            outcome.status, outcome.reason = 400, f"version {version} is not above {world['version']}"
+            return world
+        past = [*world["past"], [version, sent]][-PAST:]
+        return {**world, "version": version, "digest": digest, "past": past}
+    return Change(make, digest)
+
+
+def evacuate(zone: str, on: bool) -> Change:
+    def make(world: dict, outcome: Outcome) -> dict:
+        if (zone in world["evac"]) is on:
+            return world
+        return {**world, "evac": sorted({*world["evac"], zone} if on else {*world["evac"]} - {zone})}
+    return Change(make)
+
+
+def enrol(fronts: list[str]) -> Change:
+    """These fronts may hold parts: whoever reckons those must hear of them first."""
+    def make(world: dict, outcome: Outcome) -> dict:
+        new = [ip for ip in fronts if ip not in world["fronts"]]
+        return {**world, "fronts": {**world["fronts"], **{ip: 1 for ip in new}}} if new else world
+    return Change(make)
+
+
+def stand_by(ip: str, zone: str, regions: dict[str, str]) -> Change:
+    """A core machine that holds all there is would vote; two at a time do, so that the number stays odd."""
+    def make(world: dict, outcome: Outcome) -> dict:
+        if ip in world["voters"]:   # a founder: the seeds tell no zones
+            known = world["voters"][ip] == zone
+            return world if known else {**world, "voters": {**world["voters"], ip: zone}}
+        ready = {**world["ready"], ip: zone}
+        voters, taken = dict(world["voters"]), []
+        for other, its_zone in sorted(ready.items()):
+            region = regions.get(its_zone)
+            in_region = sum(regions.get(z) == region for z in voters.values())
+            if len(voters) < MOST_VOTERS and its_zone not in voters.values() and in_region < MOST_IN_REGION:
+                voters[other] = its_zone
+                taken.append(other)
+        if not taken or len(voters) % 2 == 0 or "" in world["voters"].values():
+            voters, taken = world["voters"], []
+        ready = {i: z for i, z in ready.items() if i not in taken}
+        if ready == world["ready"] and not taken:
+            return world
+        return {**world, "ready": ready, "voters": voters}
+    return Change(make)
+
+
+def settle() -> Change:
+    """Ends a change of members: from now on only the new ones are asked."""
+    return Change(lambda world, outcome: {**world} if world["before"] else world)
+
+
+def same() -> Change:
+    """A read by a round."""
+    return Change(lambda world, outcome: world)
