System: parts of quotas, cold rates and budgets lent by a duty that a majority grants

Change: a reckoner by a lease of a majority, numbered grants that count until they must have ended, fronts that may hold parts in the agreed value; founders write the first value themselves, a majority that holds nothing tells nothing, and promises that come late are sent the value.

--- a/fennelpoint/fleet/register.py
+++ b/fennelpoint/fleet/register.py
@@ -210,6 +210,10 @@
             if not made._enough(made.asks):
                 return made
             newest = max(made.promises, key=lambda seen: seen.accepted)
+            if self.groups_of is not None and newest.value is None:
+                # Guards against a second founding: where members change, those who were asked may all be new,
+                # and a majority of them that holds nothing tells nothing.
+                return made
             value = self.change(newest.value)
             if self.groups_of is not None:
                 # Guards a change of members: the value that is there and the one to be each name their own, and
--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -13,7 +13,10 @@
 
 from fennelpoint.system import forms
 from fennelpoint.system.mesh import ip_of, name
+from fennelpoint.system.roll.duty import SPAN, Duty
+from fennelpoint.system.roll.steward import Steward
 from fennelpoint.system.roll.view import DRAINING, GONE, READY, Backends, Members, Told
+from fennelpoint.system.settings import Bounds
 from fennelpoint.system.web import Asking, Reply
 
 FRESH = 1.8         # s without an ask after which a front is left out of the directory
@@ -21,6 +24,7 @@
 WAIT_DRAIN = 0.9    # s for a majority to hold a drain
 WAIT_CHANGE = 3.0   # s for the store
 GOSSIP = 0.5        # s between words on who was heard
+COLD_PART = 0.9     # of what a cold backend bears, lent out
 READ_AGAIN = 0.7    # s after which a read that got no answer is asked for anew
 
 
@@ -60,9 +64,9 @@
     """One core machine's part of the registry."""
 
     def __init__(self, me: str, zone: str, region: str, regions: dict[str, str], seeds: list[str], port: int,
-                 beat: float, ttl_most: float, life: int, now: float) -> None:
+                 bounds: Bounds, beat: float, life: int, first: bool, now: float) -> None:
         self.me, self.zone, self.region, self.regions, self.port = me, zone, region, regions, port
-        self.beat, self.ttl, self.life, self.born = beat, min(TTL, ttl_most), life, now
+        self.bounds, self.beat, self.ttl, self.life, self.born = bounds, beat, min(TTL, bounds.ttl_max_s), life, now
         self.seeds = seeds
         self.store = name("writ", me)
         self.backends, self.members = Backends(), Members()
@@ -73,7 +77,15 @@
         self.number = 0         # of the newest change of the list
         self.calls: dict[int, Held] = {}
         self.tokens = 0
-        self.asks: list[tuple[str, float, dict]] = []   # wait for the next read
+        self.about: dict[str, dict] = {}        # what fronts that are connected said of themselves
+        self.duty = Duty(me, now if first else now + SPAN)  # a first start: nothing was granted before
+        self.steward: Steward | None = None     # while the duty of reckoning parts is ours
+        self.enrolling = 0.0
+        self.waiting_in: set[str] = set()       # fronts that wait to be enrolled
+        self.rates: dict[str, float] = {}       # of tenants, by the configuration
+        self.cold_by: dict[str, tuple[float, float]] = {}   # s and tries a second of services' cold backends
+        self.restored: dict[str, float] = {}    # zones that were taken back, and when
+        self.asks: list[tuple[str, float, float]] = []   # wait for the next read
         self.reading: tuple[int, float, list] | None = None
         self.gossip_at = self.sweep_at = now
         self.news: set[str] = set()             # ids heard here since the last word to others
@@ -106,6 +118,7 @@
                 self._send(peer, ["backends", 0, items])
         elif peer.startswith("span@") and not up:
             self.fronts.pop(peer, None)
+            self.about.pop(peer, None)
         elif peer == self.store and up:
             self.reading = None
             self._read(now)
@@ -120,6 +133,7 @@
             asks, self.reading = self.reading[2], None
             self.asks = [a for a in asks + self.asks if now - a[1] < 2.0]
             self._read(now)
+        self._duties(now)
         if now >= self.gossip_at:
             self.gossip_at = now + GOSSIP
             self._gossip(now)
@@ -286,8 +300,9 @@
                 out.append(item)
         return out
 
-    def _on_front(self, peer: str, now: float, known: list) -> None:
-        """A front connects: it tells what it knows, and gets all that there is."""
+    def _on_front(self, peer: str, now: float, about: dict, known: list) -> None:
+        """A front connects: it tells what it is and knows, and gets all that there is."""
+        self.about[peer] = about
         changed = [item[0] for item in known if self.backends.fold(Told(*item[:10]), now)]
         if changed:
             self._share(changed, now, 0)
@@ -295,20 +310,113 @@
         self.fronts[peer] = 0
         self._send(peer, ["list", self.life, self.number, self._items(list(self.backends.known), now), True])
         if self.world:
+            self._send(peer, ["core", self.core])
             self._send(peer, ["world", *self._brief()])
 
     def _brief(self) -> list:
         w = self.world
-        return [w["rev"], w["version"], w["digest"], w["evac"], self.core]
-
-    def _on_ask(self, peer: str, now: float, stamp: float, told: dict) -> None:
-        ip = ip_of(peer)
-        self.members.fold(ip, told["address"], told["zone"], told["region"], told["life"], told["ready"], 0.0, now,
-                          True)
-        self.fronts.setdefault(peer, 0)
-        self.fronts[peer] = told.get("n", 0)
-        self.asks.append((peer, now, {"stamp": stamp}))
+        return [w["rev"], w["version"], w["digest"], w["evac"]]
+
+    def _on_ask(self, peer: str, now: float, stamp: float, ready: bool, heard: int, want: list) -> None:
+        """A front's ask: for its lease, and by `want` for its parts; `heard` acknowledges changes of the list."""
+        if (about := self.about.get(peer)) is None:
+            return
+        self.members.fold(ip_of(peer), about["address"], about["zone"], about["region"], about["life"], ready, 0.0,
+                          now, True)
+        self.fronts[peer] = heard
+        self.asks.append((peer, now, stamp))
         self._read(now)
+        if want and self.duty.holder is not None:
+            ask = ["want", ip_of(peer), about["life"], about["region"], stamp, *want]
+            if self.steward is not None:
+                self._on_want(name("roll", self.me), now, *ask[1:])
+            else:
+                self._send(name("roll", self.duty.holder[1]), ask)
+
+    # The duty of reckoning parts
+
+    def _duties(self, now: float) -> None:
+        whole = self._quorum({self.me, *self.links})
+        line = sorted(self.world["voters"]) if self.world else []
+        if self.steward is not None and not self.duty.holds(now):
+            self.steward = None
+            self.duty.leave()
+            self.out.append(Note("YIELDS", {"node": self.me, "reason": "no majority grants it any more"}))
+        if self.me in line and (term := self.duty.due(now, line.index(self.me), whole)) is not None:
+            held = self.duty.holds(now)
+            for peer in self.others:
+                self._send(peer, ["claim", list(term), held, self.duty.claims])
+            if self.duty.claimed(term, held, now):
+                self._voted(term, self.duty.claims, self.me, now)
+        if self.steward is not None and self.waiting_in and now >= self.enrolling:
+            self.enrolling = now + 0.4
+            self._send(self.store, ["change", 0, "enrol", [sorted(self.waiting_in)], b""])
+
+    def _on_claim(self, peer: str, now: float, term: list, held: bool, number: int) -> None:
+        if self.duty.claimed(tuple(term), held, now):
+            self._send(peer, ["granted", term, number])
+
+    def _on_granted(self, peer: str, now: float, term: list, number: int) -> None:
+        self._voted(tuple(term), number, ip_of(peer), now)
+
+    def _voted(self, term: tuple, number: int, by: str, now: float) -> None:
+        if self.duty.voted(term, number, by, self._quorum, now):
+            self.steward = Steward(list(term), self.world["fronts"], now)
+            self.out.append(Note("LEADS", {"node": self.me, "term": term[0]}))
+
+    def _on_want(self, peer: str, now: float, ip: str, life: int, region: str, stamp: float, seen: list, asked: dict,
+                 holds: list | None) -> None:
+        """A front's ask for parts, to whoever reckons them, by way of the registry that it asks."""
+        if self.steward is None or not self.duty.holds(now):
+            return
+        if ip not in self.world["fronts"]:
+            self.waiting_in.add(ip)
+            return
+        self.waiting_in.discard(ip)
+        self.steward.enrol([ip])
+        grant = self.steward.want(ip, life, region, seen, asked, holds, self.rates, self._cold(now), now)
+        term = self.steward.term
+        if grant is None:
+            answer = ["tell", ip, term]
+        elif [term, grant.number] == seen:
+            answer = ["lend", ip, stamp, term, grant.number, None]
+        else:
+            answer = ["lend", ip, stamp, term, grant.number, grant.pack()]
+        if ip_of(peer) == self.me:
+            self._hand_on(answer)
+        else:
+            self._send(peer, answer)
+
+    def _hand_on(self, answer: list) -> None:
+        kind, ip, *rest = answer
+        self._send(name("span", ip), [kind, *rest])
+
+    def _on_lend(self, peer: str, now: float, *rest: object) -> None:
+        self._hand_on(["lend", *rest])
+
+    def _on_tell(self, peer: str, now: float, *rest: object) -> None:
+        self._hand_on(["tell", *rest])
+
+    def _cold(self, now: float) -> dict[str, tuple[int, str]]:
+        """What each cold backend bears in a second, and its region."""
+        made = {}
+        for id, b in self.backends.known.items():
+            if b.told.state != READY:
+                continue
+            for_s, rate = self.cold_by.get(b.told.service, (0.0, 0.0))
+            if now < max(b.cold_until, self.restored.get(b.told.zone, -1e9) + for_s):
+                most = int((rate * self.bounds.cold_overshoot + self.bounds.cold_slack) * COLD_PART)
+                made[id] = (max(1, most), self.regions.get(b.told.zone, ""))
+        return made
+
+    def _figures(self) -> None:
+        """What the reckoning goes by, of the configuration that is newest here."""
+        if (data := self.contents.get(self.world["digest"])) is not None:
+            value = forms.json.loads(zlib.decompress(data))
+            self.rates = {t["name"]: float(t.get("rate_per_s") or 0.0) for t in value.get("tenants", ())
+                          if t.get("rate_per_s")}
+            self.cold_by = {c["name"]: (float(c.get("cold_start_s") or 0.0), float(c.get("cold_rate_s") or 0.0))
+                            for c in value["clusters"]}
 
     def _read(self, now: float) -> None:
         """One read of the newest at a time; it serves all asks that came before it began."""
@@ -328,25 +436,32 @@
             return
         asks, self.reading = self.reading[2], None
         if world is not None:
-            count = sum(now - m.heard < 6.0 for m in self.members.known.values())
-            for front, _, ask in asks:
-                self._send(front, ["lease", ask["stamp"], world["rev"], world["version"], world["digest"],
-                                   world["evac"], count])
+            for front, _, stamp in asks:
+                self._send(front, ["lease", stamp, *self._brief()])
         self._read(now)
 
     def _on_world(self, peer: str, now: float, world: dict) -> None:
         if self.world and world["rev"] <= self.world["rev"]:
             return
+        for zone in set(self.world["evac"] if self.world else ()) - set(world["evac"]):
+            self.restored[zone] = now
+        moved = not self.world or self.core != {**world["ready"], **world["voters"]}
         self.world = world
         if world["digest"] and world["digest"] not in self.contents:
             self._send(self.store, ["want", world["digest"]])
+        else:
+            self._figures()
         for front in self.fronts:
+            if moved:
+                self._send(front, ["core", self.core])
             self._send(front, ["world", *self._brief()])
 
     def _on_content(self, peer: str, now: float, digest: str, data: bytes) -> None:
         self.contents[digest] = data
         while len(self.contents) > 4:
             self.contents.pop(next(iter(self.contents)))
+        if self.world and digest == self.world["digest"]:
+            self._figures()
         for then in self.wants.pop(digest, ()):
             then()
 
--- a/fennelpoint/system/roll/program.py
+++ b/fennelpoint/system/roll/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import time
 
 from fennelpoint.system.events import Event, say
@@ -19,10 +20,10 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, settings: Settings) -> None:
         self.loop, self.settings = loop, settings
-        listen, bounds = settings.listen_addresses, settings.rule_bounds
+        listen = settings.listen_addresses
         self.desk = Desk(settings.ip_address, settings.availability_zone, settings.region, settings.zones,
-                         settings.seeds, listen.control_plane[1], settings.heartbeat_s, bounds.ttl_max_s,
-                         time.time_ns() // 1_000_000, time.monotonic())
+                         settings.seeds, listen.control_plane[1], settings.rule_bounds, settings.heartbeat_s,
+                         secrets.randbits(40), settings.first_start, time.monotonic())
         self.mesh = Mesh(loop, "roll", settings.ip_address, settings.internal_ports, self.take, self.linked)
         self.web = Web(loop, self.call)
         self.stopped = loop.create_future()
--- /dev/null
+++ b/fennelpoint/system/roll/steward.py
@@ -0,0 +1,166 @@
+"""Parts of what is scarce, lent to fronts so that they add up to the whole at most.
+
+What is lent is lent by numbered grants that live as long as a lease.  A grant counts until a later one is known to
+have come, or its life is over by a clock that began later than the front's.  Whoever begins to reckon has forgotten
+everything: each front that may hold parts counts as holding the rest until it has told, or what it held must have
+ended.  Lost and late messages lose room, never the bound.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+LIFE = 4.2          # s of a grant at the front, from the sending of its ask
+SLACK = 0.4         # s more that it counts here
+ALIVE = 1.8         # s without an ask after which a front gets no more of what is free
+HALF = 6.0          # s in which what was asked counts half
+WHOLE = 1000        # parts of a quota or of the budget's slack
+GIVEN = 985         # of these at most lent at a time: rounding and clocks stay inside the whole
+LEAST_MOVE = 15     # of these: a smaller change is not worth a message
+NOISE = 0.25        # of a part: asks of seconds say no more than this, and what is taken back is lost
+
+
+@dataclass(slots=True)
+class Grant:
+    """What one front may use: thousandths of quotas by tenant, tries a second by cold backend, of the slack."""
+
+    number: int = 0
+    quotas: dict[str, int] = field(default_factory=dict)
+    cold: dict[str, int] = field(default_factory=dict)
+    slack: int = 0
+    ends: float = 0.0
+
+    def pack(self) -> list:
+        return [self.quotas, self.cold, self.slack]
+
+
+@dataclass(slots=True)
+class Front:
+    """What is known of one front that may hold parts."""
+
+    ip: str
+    region: str = ""
+    life: int = 0
+    past: set[int] = field(default_factory=set)     # its lives before: they are over
+    heard: float = -1e9
+    known: bool = False     # it told what it holds, or that must have ended
+    grants: list[Grant] = field(default_factory=list)   # that may be in use, the newest last
+    asked: dict[str, float] = field(default_factory=dict)   # a second, fading, by tenant
+    faded: float = 0.0
+
+    def out(self, kind: str, key: str, now: float) -> int:
+        """The most of a thing that it may be using."""
+        most = 0
+        for g in self.grants:
+            if now < g.ends:
+                most = max(most, g.slack if kind == "slack" else getattr(g, kind).get(key, 0))
+        return most
+
+
+class Steward:
+    """The reckoner of one term."""
+
+    def __init__(self, term: list, fronts: Iterable[str], now: float) -> None:
+        self.term, self.since, self.number = term, now, 0
+        self.fronts: dict[str, Front] = {ip: Front(ip) for ip in fronts}
+
+    def enrol(self, fronts: Iterable[str]) -> None:
+        """These may hold parts from now on: by a value that is agreed, so that whoever comes after knows."""
+        for ip in fronts:
+            if ip not in self.fronts:
+                self.fronts[ip] = Front(ip, known=True)
+
+    def _settled(self, now: float) -> bool:
+        """Whether nothing is lent that we don't know of."""
+        over = now - self.since > LIFE + SLACK
+        return over or all(f.known for f in self.fronts.values())
+
+    def want(self, ip: str, life: int, region: str, seen: list, asked: Mapping[str, float], holds: list | None,
+             rates: Mapping[str, float], cold: Mapping[str, tuple[int, str]], now: float) -> Grant | None:
+        """A front's ask: `seen` is the term and number it goes by, `holds` what that is, where the term is another.
+
+        `rates` are tenants' quotas a second, `cold` what each cold backend bears in a second, and its region.
+        Returns what it may use from now on; None: it has to tell what it holds first, or may hold nothing yet.
+        """
+        if (front := self.fronts.get(ip)) is None or life in front.past:
+            return None
+        if life != front.life:
+            if front.life:
+                front.past.add(front.life)
+                front.grants.clear()    # it died, and what it held with it
+                front.asked.clear()
+            front.life = life
+        front.heard, front.region = now, region
+        self._ask(front, asked, now)
+        term, number = seen
+        if not front.known:
+            if number and tuple(term) != tuple(self.term):
+                if holds is None:
+                    return None
+                quotas, its_cold, slack = holds
+                front.grants = [Grant(0, dict(quotas), dict(its_cold), slack, now + LIFE + SLACK)]
+            front.known = True
+        elif number and tuple(term) == tuple(self.term):
+            front.grants = [g for g in front.grants if g.number >= number]
+        front.grants = [g for g in front.grants if now < g.ends]
+        return self._lend(front, rates, cold, now)
+
+    def _ask(self, front: Front, asked: Mapping[str, float], now: float) -> None:
+        span = max(0.05, now - front.faded) if front.faded else 0.5
+        keep = 0.5 ** (span / HALF)
+        front.faded = now
+        for tenant in {*front.asked, *asked}:
+            rate = front.asked.get(tenant, 0.0) * keep + asked.get(tenant, 0) / span * (1.0 - keep)
+            front.asked[tenant] = rate
+            if rate < 0.01:
+                del front.asked[tenant]
+
+    def _free(self, kind: str, key: str, whole: int, front: Front, now: float) -> int:
+        """What may be lent to it of one thing; while something is unknown, no more than it holds."""
+        if not self._settled(now):
+            return front.out(kind, key, now)
+        return max(0, whole - sum(f.out(kind, key, now) for f in self.fronts.values() if f is not front))
+
+    def _lend(self, front: Front, rates: Mapping[str, float], cold: Mapping[str, tuple[int, str]],
+              now: float) -> Grant:
+        alive = [f for f in self.fronts.values() if now - f.heard < ALIVE]
+        quotas = {}
+        for tenant, rate in rates.items():
+            want = self._share(front, alive, tenant, rate)
+            part = min(int(GIVEN * want), self._free("quotas", tenant, GIVEN, front, now))
+            if part > 0:
+                quotas[tenant] = part
+        bears = {}
+        for id, (most, region) in cold.items():
+            near = sorted(f.ip for f in alive if f.region == region) or sorted(f.ip for f in alive)
+            part = most // len(near) + (near.index(front.ip) < most % len(near)) if front.ip in near else 0
+            part = min(part, self._free("cold", id, most, front, now))
+            if part > 0:
+                bears[id] = part
+        slack = min(GIVEN // len(alive), self._free("slack", "", GIVEN, front, now))
+        last = front.grants[-1] if front.grants else None
+        if last is not None and last.number and self._alike(last, quotas, bears, slack):
+            last.ends = now + LIFE + SLACK
+            return last
+        self.number += 1
+        made = Grant(self.number, quotas, bears, slack, now + LIFE + SLACK)
+        front.grants.append(made)
+        return made
+
+    @staticmethod
+    def _alike(last: Grant, quotas: dict[str, int], cold: dict[str, int], slack: int) -> bool:
+        if cold != last.cold or abs(slack - last.slack) > LEAST_MOVE or quotas.keys() != last.quotas.keys():
+            return False
+        return all(abs(part - last.quotas[t]) <= max(LEAST_MOVE, NOISE * last.quotas[t]) for t, part in quotas.items())
+
+    @staticmethod
+    def _share(front: Front, alive: list[Front], tenant: str, rate: float) -> float:
+        """The larger of the even share of what is unused, and of its asked over all asked; they add up to one."""
+        alls = sum(f.asked.get(tenant, 0.0) for f in alive)
+        unused = max(0.0, 1.0 - alls / rate) / len(alive) if rate else 1.0 / len(alive)
+
+        def own(f: Front) -> float:
+            return max(unused, f.asked.get(tenant, 0.0) / alls if alls > 0.0 else 1.0 / len(alive))
+
+        return own(front) / max(1e-9, sum(own(f) for f in alive))
--- a/fennelpoint/system/span/decide.py
+++ b/fennelpoint/system/span/decide.py
@@ -35,6 +35,7 @@
 
     shares: dict[int, float]
     floor: float
+    slack: float = 0.0      # further tries that this front may send in a budget's window, beside those by its ratio
 
 
 @dataclass(slots=True)
@@ -71,7 +72,7 @@
         self.places = Places({}, {}, {})
         self.sent_cold: dict[object, deque] = {}    # when tries were sent to a cold backend
         self.budgets: dict[str, Budget] = {}
-        self.ratio, self.slack, self.span = 0.2, 1.0, 10.0  # of the budget, the last two of this front's part
+        self.ratio, self.slack, self.span = 0.2, 0.0, 10.0  # of the budget, the last two of this front's part
         self.on |= {Catalogue: self._catalogue, Shares: self._lent, Places: self._placed}
 
     # What the core tells
@@ -90,7 +91,7 @@
 
     def _lent(self, event: Shares, now: float) -> None:
         """What is taken back is gone at once; what is given fills with time."""
-        self.shares, self.floor = event.shares, event.floor
+        self.shares, self.floor, self.slack = event.shares, event.floor, event.slack
         for c in self.customers.values():
             self._fill(c, now)
             c.share = self._share_of(c.key)
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 import zlib
-from math import floor
 from random import Random
 
 from fennelpoint import interface as api
@@ -17,12 +16,13 @@
 from fennelpoint.system.events import Event, say
 from fennelpoint.system.forms import compile_version
 from fennelpoint.system.mesh import Mesh
+from fennelpoint.system.roll.steward import WHOLE
 from fennelpoint.system.roll.view import DRAINING, GONE
 from fennelpoint.system.settings import Settings, address
 from fennelpoint.system.span.decide import Catalogue, Decider, Places, Shares
 from fennelpoint.system.span.host import SystemBackends, SystemHost
 from fennelpoint.system.span.reader import SystemReader
-from fennelpoint.system.span.tether import Apply, Hold, Refresh, Send, Tether
+from fennelpoint.system.span.tether import Apply, Hold, Lend, Refresh, Send, Tether
 from fennelpoint.system.web import Asking, Reply, Web
 
 TICK = 0.05         # s
@@ -31,7 +31,9 @@
 SETTLE, END = 0.72, 0.93    # of the grace: clients still come; all is answered
 FAR_ZONE, FAR_REGION = 0.004, 0.08      # s that another zone or region costs in the choice
 CONNECT = 0.4       # s for a connection to a backend
-COLD_PART = 0.85    # of what a cold backend bears, given out in parts
+OVER_PART, MORE_PART = 0.9, 0.5     # of a quota's overshoot and slack, used
+SLACK_PART = 0.9    # of the budget's slack, used
+SHARERS = 3.0       # fronts that are likely to send to one backend
 
 
 class Program:
@@ -56,12 +58,11 @@
         about = {"address": "%s:%d" % listen.public_http, "zone": settings.availability_zone,
                  "region": settings.region, "life": self.random.getrandbits(40)}
         self.tether = Tether(settings.ip_address, settings.availability_zone, settings.region, settings.zones,
-                             settings.seeds, about, time.monotonic())
+                             settings.seeds, about, time.monotonic(), asked=self.reader.take_asked)
         self.mesh = Mesh(loop, "span", settings.ip_address, settings.internal_ports, self.take, self.linked)
         self.web = Web(loop, self.call)
         self.evac: frozenset = frozenset()
         self.restored: dict[str, float] = {}    # zones that were taken back, and until when they count as cold
-        self.count = 0
         self.stopped, self.looking = loop.create_future(), False
 
     def allows(self) -> bool:
@@ -103,9 +104,8 @@
                     self._refresh()
                 case Hold(held, reason):
                     self._hold(held, reason)
-        if self.tether.count != self.count:
-            self.count = self.tether.count
-            self._lend()
+                case Lend():
+                    self._lend()
 
     def _hold(self, held: bool, reason: str) -> None:
         now = time.monotonic()
@@ -127,13 +127,18 @@
         self.server.idle_timeout = max(5.0, version.limits.idle_timeout_s)
         self.server.head_timeout = max(2.5, version.limits.header_timeout_s)
         self.grown()
+        self._lend()
         self._refresh()
         say(Event.APPLIED, node=self.settings.node_name, version=number)
 
     def grown(self) -> None:
         """A version, a class or a cell that is new: the module hears of all."""
+        # The rule leaves a part more and some requests beyond: they go to fronts whose part is short by chance.
+        bounds = self.settings.rule_bounds
+        over, more = 1.0 + OVER_PART * bounds.quota_overshoot, MORE_PART * bounds.quota_slack
         plans = [api.Plan("public", 1.0)] + [
-            api.Plan(h.name, 8.0 ** -min(h.priority, 10), h.rate, h.burst) for h in self.reader.holders]
+            api.Plan(h.name, 8.0 ** -min(h.priority, 10), h.rate * over, (h.burst * over + more) * (h.rate > 0.0))
+            for h in self.reader.holders]
         self.host.post(Catalogue(list(self.reader.made), plans))
         self._cells()
 
@@ -170,7 +175,7 @@
 
     def _place(self, now: float) -> None:
         far, slots, cold = {}, {}, {}
-        settings, bounds = self.settings, self.settings.rule_bounds
+        settings = self.settings
         clusters = self.reader.version.clusters if self.reader.version is not None else {}
         for id, b in self.tether.backends.known.items():
             zone = b.told.zone
@@ -183,13 +188,14 @@
             if cluster is not None and zone in self.restored:
                 until = max(until, self.restored[zone] + cluster.cold_start_s)
             if cluster is not None and until > now:
-                most = (cluster.cold_rate_s * bounds.cold_overshoot + bounds.cold_slack) * COLD_PART
-                cold[id] = (until, max(1, floor(most / max(1, self.count))))
-        self.host.post(Places(far, slots, cold, max(1.0, self.count / 3.0)))
+                cold[id] = (until, self.tether.parts.cold.get(id, 0))
+        self.host.post(Places(far, slots, cold, SHARERS))
 
     def _lend(self) -> None:
-        self.host.controller.slack = 0.8 * self.settings.rule_bounds.budget_slack / self.count
-        self.host.post(Shares({}, 1.0 / self.count))
+        """Parts that are new, or at an end: what is not lent is not there."""
+        parts, bounds = self.tether.parts, self.settings.rule_bounds
+        self.host.post(Shares({self.reader.plans[tenant]: part / WHOLE for tenant, part in parts.quotas.items()
+                               if tenant in self.reader.plans}, 0.0, SLACK_PART * bounds.budget_slack * parts.slack / WHOLE))
         self._place(time.monotonic())
 
     # Start and stop
--- a/fennelpoint/system/span/reader.py
+++ b/fennelpoint/system/span/reader.py
@@ -59,6 +59,11 @@
             else:
                 self.holders[self.plans[holder.name]] = holder
 
+    def take_asked(self) -> dict[str, int]:
+        """Requests by tenant since this was last called, refused ones included."""
+        asked, self.asked = self.asked, {}
+        return asked
+
     def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]], body: bytes,
              upload: Upload | None = None) -> Asked:
         found: dict[bytes, bytes] = {}
--- a/fennelpoint/system/span/tether.py
+++ b/fennelpoint/system/span/tether.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from fennelpoint.system.mesh import ip_of, name
+from fennelpoint.system.mesh import name
 from fennelpoint.system.roll.view import Backends, Told
 
 LIFE = 4.2          # s of a lease, from the sending of the ask
@@ -44,6 +45,23 @@
     reason: str = ""
 
 
+@dataclass(slots=True)
+class Parts:
+    """What this front may use: thousandths of quotas by tenant and of the budget's slack, tries by cold backend."""
+
+    term: list = field(default_factory=lambda: [0, ""])
+    number: int = 0
+    quotas: dict[str, int] = field(default_factory=dict)
+    cold: dict[str, int] = field(default_factory=dict)
+    slack: int = 0
+    until: float = -1e9
+
+
+@dataclass(slots=True)
+class Lend:
+    """Go by these parts from now on; they are in `Tether.parts`."""
+
+
 @dataclass(slots=True)
 class Tether:
     """What one front holds."""
@@ -65,7 +83,11 @@
     until: float = 0.0      # end of the lease
     held: bool = False
     ready: bool = False
-    count: int = 1          # fronts that may hold parts
+    parts: Parts = field(default_factory=Parts)
+    lent: bool = False      # the parts are in force
+    holds: bool = False     # whoever reckons has to be told what we hold
+    asked: Callable[[], dict[str, int]] = dict    # what was asked here by tenant, since it was last taken
+    number: int = 0         # of the list's newest change that was heard
     lists: set[str] = field(default_factory=set)    # core machines whose whole list came
     up: set[str] = field(default_factory=set)
     asked_at: float = -1e9
@@ -105,7 +127,7 @@
         if up:
             self.up.add(peer)
             known = [b.now(now).pack() for b in self.backends.known.values()]
-            self._send(peer, ["front", known])
+            self._send(peer, ["front", self.about, known])
             if now - self.answered_at > PATIENCE:
                 self._ask([peer], now)
         else:
@@ -130,6 +152,10 @@
             self._ask(reached[1:], now, again=True)
         if self.pending and now - self.wanted_at > AGAIN:
             self._want(now)
+        if self.lent and now >= self.parts.until:
+            self.lent = False
+            self.parts = Parts(self.parts.term)
+            self.out.append(Lend())
         if self.held and now >= self.until:
             self.held = False
             self.out.append(Hold(False, "no core machine answers"))
@@ -150,8 +176,11 @@
     def _ask(self, peers: list[str], now: float, again: bool = False) -> None:
         if not again:
             self.asked_at = now
-        for peer in peers:
-            self._send(peer, ["ask", now, {**self.about, "ready": self.ready}])
+        parts = self.parts
+        holds = [parts.quotas, parts.cold, parts.slack] if self.holds and parts.number else None
+        want = [[parts.term, parts.number], self.asked(), holds]
+        for i, peer in enumerate(peers):
+            self._send(peer, ["ask", now, self.ready, self.number, want if i == 0 else []])
 
     # What is told
 
@@ -163,13 +192,38 @@
             b = self.backends.known[told.id]
             if b.lost is not lost and told.age < 3600 and (lost is False or now - b.heard > 2.0):
                 b.lost, changed = lost, True
+        self.number = number
         if whole:
             self.lists.add(peer)
         if changed or whole:
             self.out.append(Refresh())
 
-    def _on_world(self, peer: str, now: float, rev: int, version: int, digest: str, evac: list, core: dict) -> None:
+    def _on_core(self, peer: str, now: float, core: dict) -> None:
         self.core = core
+
+    def _on_tell(self, peer: str, now: float, term: list) -> None:
+        """Who reckons has just begun: it has to hear what we hold, and no word of those before counts any more."""
+        if tuple(term) >= tuple(self.parts.term):
+            self.holds = True
+            if not self.parts.number:
+                self.parts.term = term
+            self._ask([peer], now)
+
+    def _on_lend(self, peer: str, now: float, stamp: float, term: list, number: int, parts: list | None) -> None:
+        """Parts, by an ask of ours at `stamp`; none: those that we go by are ours for longer."""
+        ours = (tuple(self.parts.term), self.parts.number)
+        if (tuple(term), number) < ours or parts is None and (tuple(term), number) != ours:
+            return
+        self.holds = False
+        if parts is None:
+            self.parts.until = max(self.parts.until, stamp + LIFE)
+            return
+        quotas, cold, slack = parts
+        self.parts = Parts(term, number, quotas, cold, slack, stamp + LIFE)
+        self.lent = now < self.parts.until
+        self.out.append(Lend())
+
+    def _on_world(self, peer: str, now: float, rev: int, version: int, digest: str, evac: list) -> None:
         self._newest(rev, version, digest, evac, now)
 
     def _newest(self, rev: int, version: int, digest: str, evac: list, now: float) -> None:
@@ -197,11 +251,10 @@
         self.pending.clear()
         self._extend(max(waits), now)
 
-    def _on_lease(self, peer: str, now: float, stamp: float, rev: int, version: int, digest: str, evac: list,
-                  count: int) -> None:
+    def _on_lease(self, peer: str, now: float, stamp: float, rev: int, version: int, digest: str,
+                  evac: list) -> None:
         """The newest there was when we asked, at `stamp` on our own clock."""
         self.answered_at = max(self.answered_at, stamp)
-        self.count = max(1, count)
         self._newest(rev, version, digest, evac, now)
         if rev > self.rev or not self.digest:
             return
@@ -220,6 +273,3 @@
         """Whether anything may be sent on."""
         return self.held and now < self.until
 
-
-def core_ip(peer: str) -> str:
-    return ip_of(peer)
--- a/fennelpoint/system/writ/keeper.py
+++ b/fennelpoint/system/writ/keeper.py
@@ -43,6 +43,7 @@
 )
 
 KEY = "world"
+FOUNDED: Ballot = (0, "founded")
 ROUND, READ, SPREAD = 0.5, 0.35, 0.8     # s for a round's answers, a read's, a content's
 GIVE_UP = 3.5           # s after which a change has no clear answer
 READ_LIFE = 2.0         # s that a read is tried
@@ -112,6 +113,8 @@
         self.peers: set[str] = set(seeds) - {me}
         self.world: dict = {}       # the newest that is known to be agreed
         self.at: Ballot = ZERO
+        self.hint: dict = {}    # the newest that was seen, agreed or not: tells whom to ask
+        self.late: tuple[int, Round] | None = None  # the round before, for promises that come late
         self.jobs: deque[Job] = deque()
         self.highest = keeper.cells.get(KEY, Cell()).promised[0]
         self.numbers = 0
@@ -126,7 +129,9 @@
         self.ill = ""           # the disk refuses: no vote until it takes writes again
         if not keeper.votes:
             if founds:
-                self.keeper = Keeper(me, 1, True, {}, {})
+                # All founders write the same, so that it is agreed from the start, and no voter holds nothing.
+                cell = Cell(FOUNDED, FOUNDED, empty({ip: "" for ip in seeds}))
+                self.keeper = Keeper(me, 1, True, {}, {KEY: cell})
                 self.out.append(Save(self.keeper, whole=True))
                 self.out.append(Note("FOUNDED", {"voters": ", ".join(sorted(seeds))}))
             else:
@@ -136,18 +141,15 @@
 
     # What is known of the members
 
-    def _founders(self) -> dict[str, str]:
-        return {ip: "" for ip in self.seeds}
-
     def groups(self) -> Groups:
         """Whose majorities to ask, by all that is known here."""
         held = self.keeper.cells.get(KEY, Cell()).value
-        known = max((w for w in (held, self.world) if w), key=lambda w: w["rev"], default=None)
+        known = max((w for w in (held, self.world, self.hint) if w), key=lambda w: w["rev"], default=None)
         return groups_of(known) or (frozenset(self.seeds),)
 
     def _members(self) -> None:
         held = self.keeper.cells.get(KEY, Cell()).value
-        for world in (held, self.world):
+        for world in (held, self.world, self.hint):
             for part in ("voters", "before", "ready") if world else ():
                 self.peers.update(world[part])
         self.peers.discard(self.me)
@@ -304,9 +306,7 @@
         self.highest += 1
         self.numbers += 1
         ballot = (self.highest, self.me)
-        founders = empty(self._founders())
-        change = lambda value: job.change(value or founders)    # noqa: E731
-        job.round = Round(KEY, ballot, change, 0, groups=self.groups(), groups_of=groups_of)
+        job.round = Round(KEY, ballot, job.change, 0, groups=self.groups(), groups_of=groups_of)
         job.number, job.until, job.asked = self.numbers, now + ROUND, frozenset()
         self._prepare(job, now)
 
@@ -351,15 +351,17 @@
 
     def _on_seen(self, peer: str, now: float, number: int, name: str, life: int, ok: bool, promised: list,
                  accepted: list, value: object) -> None:
-        if not self.jobs or self.jobs[0].number != number or self.jobs[0].round is None:
-            return
         seen = Seen(name, life, ok, _ballot(promised), _ballot(accepted), value)
-        one = self.jobs[0].round
+        current = self.jobs and self.jobs[0].number == number and self.jobs[0].round is not None
+        one = self.jobs[0].round if current else self.late[1] if self.late and self.late[0] == number else None
+        if one is None:
+            return
         if ok and one.sent is not None and seen.promised == one.ballot and name not in one.asks:
             # Too late for the quorum, in time for the value: it is to hold what the others do.
             lives = tuple(sorted({*one.sent.lives, (name, life)}))
-            return self._send(name, ["accept", number, one.ballot, one.sent.value, lives])
-        self._hear(seen, now)
+            self._send(name, ["accept", number, one.ballot, one.sent.value, lives])
+        elif current:
+            self._hear(seen, now)
 
     def _on_voted(self, peer: str, now: float, number: int, name: str, life: int, ok: bool, promised: list) -> None:
         if self.jobs and self.jobs[0].number == number and self.jobs[0].round is not None:
@@ -380,6 +382,7 @@
             if self.me in job.round.asks:
                 return self._hear(self._handle(sent), now)
         if job.round.done:
+            self.late = (job.number, job.round)
             self.jobs.popleft()
             self._finish(job, job.round.sent)
             self._members()
@@ -458,17 +461,19 @@
         reading = self.reading
         answers = reading["answers"]
         answers[seen.name] = seen
-        newest = max((s for s in answers.values() if s.ok), key=lambda s: s.accepted, default=None)
+        newest = max((s for s in answers.values() if s.ok and s.value), key=lambda s: s.accepted, default=None)
         if newest is None:
             return
+        if newest.value["rev"] > max(self.hint.get("rev", -1), self.world.get("rev", -1)):
+            self.hint = newest.value
+            self._members()
         alike = frozenset(s.name for s in answers.values() if s.ok and s.accepted == newest.accepted)
-        groups = groups_of(newest.value) or self.groups()
+        groups = groups_of(newest.value)
         if holds(alike, groups):
             self.reading = None
-            world = newest.value or empty(self._founders())
-            self._learn(newest.accepted, world)
+            self._learn(newest.accepted, newest.value)
             for token, _ in reading["tokens"]:
-                self._send(ROLL, ["newest", token, world])
+                self._send(ROLL, ["newest", token, newest.value])
             return self._begin_read(now)
         voting = frozenset(s.name for s in answers.values() if s.ok)
         if all(reading["whom"] & g <= answers.keys() for g in groups) and holds(voting, groups):
