--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -23,6 +23,7 @@
 TTL = 2.0           # s that clients may hold an answer
 WAIT_DRAIN = 0.9    # s for a majority to hold a drain
 WAIT_CHANGE = 3.0   # s for the store
+LEAD_AGAIN = 0.6    # s for the store to number a term
 GOSSIP = 0.5        # s between words on who was heard
 COLD_PART = 0.9     # of what a cold backend bears, lent out
 READ_AGAIN = 0.7    # s after which a read that got no answer is asked for anew
@@ -80,6 +81,7 @@
         self.about: dict[str, dict] = {}        # what fronts that are connected said of themselves
         self.duty = Duty(me, now if first else now + SPAN)  # a first start: nothing was granted before
         self.steward: Steward | None = None     # while the duty of reckoning parts is ours
+        self.leading: tuple[int, float] | None = None   # the call for our term's number, and when to call again
         self.enrolling = 0.0
         self.waiting_in: set[str] = set()       # fronts that wait to be enrolled
         self.rates: dict[str, float] = {}       # of tenants, by the configuration
@@ -348,6 +350,10 @@
                 self._send(peer, ["claim", list(term), held, self.duty.claims])
             if self.duty.claimed(term, held, now):
                 self._voted(term, self.duty.claims, self.me, now)
+        if self.leading is not None and now >= self.leading[1]:
+            self.leading = None
+            if self.duty.holds(now):
+                self._lead(now)
         if self.steward is not None and self.waiting_in and now >= self.enrolling:
             self.enrolling = now + 0.4
             self._send(self.store, ["change", 0, "enrol", [sorted(self.waiting_in)], b""])
@@ -361,8 +367,19 @@
 
     def _voted(self, term: tuple, number: int, by: str, now: float) -> None:
         if self.duty.voted(term, number, by, self._quorum, now):
-            self.steward = Steward(list(term), self.world["fronts"], now)
-            self.out.append(Note("LEADS", {"node": self.me, "term": term[0]}))
+            self._lead(now)
+
+    def _lead(self, now: float) -> None:
+        """The duty is ours; its term is a number that is agreed, since no registry remembers one."""
+        self.tokens += 1
+        self.leading = (self.tokens, now + LEAD_AGAIN)
+        self._send(self.store, ["change", self.tokens, "lead", [], b""])
+
+    def _begin_term(self, world: dict, now: float) -> None:
+        self.leading = None
+        if self.duty.holds(now):
+            self.steward = Steward([world["term"], self.me], world["fronts"], now)
+            self.out.append(Note("LEADS", {"node": self.me, "term": world["term"]}))
 
     def _on_want(self, peer: str, now: float, ip: str, life: int, region: str, stamp: float, seen: list, asked: dict,
                  holds: list | None) -> None:
@@ -502,6 +519,10 @@
             self._on_world(peer, now, world)
         if status not in (200, 503):
             self.out.append(Note("REFUSED", {"reason": reason}))
+        if self.leading is not None and token == self.leading[0]:
+            if status == 200:
+                return self._begin_term(world, now)
+            self.leading = (0, now)
         if (held := self.calls.pop(token, None)) is not None:
             held.then([status, reason])
 
--- a/fennelpoint/system/writ/keeper.py
+++ b/fennelpoint/system/writ/keeper.py
@@ -37,6 +37,7 @@
     enrol,
     evacuate,
     groups_of,
+    lead,
     same,
     settle,
     stand_by,
@@ -339,7 +340,7 @@
             self._want(digest, now)
 
     def _on_change(self, peer: str, now: float, token: object, kind: str, args: list, data: bytes) -> None:
-        made = {"put": configure, "evacuate": evacuate, "enrol": enrol}[kind](*args)
+        made = {"put": configure, "evacuate": evacuate, "enrol": enrol, "lead": lead}[kind](*args)
         self._add(Job(made, token, now, data), now)
 
     def _on_stored(self, peer: str, now: float, number: int, name: str, digest: str) -> None:
--- a/fennelpoint/system/writ/world.py
+++ b/fennelpoint/system/writ/world.py
@@ -20,7 +20,7 @@
 def empty(voters: dict[str, str]) -> dict:
     """What a core that was just founded agrees on; `voters` are zones by IP address."""
     return {"rev": 0, "voters": voters, "before": {}, "ready": {}, "version": 0, "digest": "", "past": [],
-            "evac": [], "fronts": {}}
+            "evac": [], "fronts": {}, "term": 0}
 
 
 def groups_of(world: object) -> Groups:
@@ -89,6 +89,11 @@
     return Change(make)
 
 
+def lead() -> Change:
+    """A new term of whoever reckons parts: its number fences off the words of those before."""
+    return Change(lambda world, outcome: {**world, "term": world["term"] + 1})
+
+
 def stand_by(ip: str, zone: str, regions: dict[str, str]) -> Change:
     """A core machine that holds all there is would vote; two at a time do, so that the number stays odd."""
     def make(world: dict, outcome: Outcome) -> dict:
