System: a cold backend's own part is counted by the module's clock

Cause: the end of a cold spell was told on the steady clock, the module reckons in the host's; so no backend ever counted as cold at a front (13 to 17 requests in a second where 12.9 and 14.3 are allowed). Ruled out by a trace of each send: parts (3 and 4 a second, adding up to 11), windows, late connects.

--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -188,7 +188,8 @@
             if cluster is not None and zone in self.restored:
                 until = max(until, self.restored[zone] + cluster.cold_start_s)
             if cluster is not None and until > now:
-                cold[id] = (until, self.tether.parts.cold.get(id, 0))
+                # The module's clock is the host's, whose moments the steady clock's are not.
+                cold[id] = (until + self.host.clock.offset, self.tether.parts.cold.get(id, 0))
         self.host.post(Places(far, slots, cold, SHARERS))
 
     def _lend(self) -> None:
