System: back in half the time after all processes are lost

Change: settings and versions are read without pydantic, which a registry loads with the first change; the duty goes to whoever all voters grant it; fronts are told to ask; a fresh front has saved up a second of its part; backends are on the registry's disk, a drain before it is acknowledged.

--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from result import Err
+from result import Err, Result
 
-from fennelpoint.system import forms
+from fennelpoint.system import versions
 from fennelpoint.system.mesh import ip_of, name
 from fennelpoint.system.roll.duty import SPAN, Duty
 from fennelpoint.system.roll.steward import Steward
@@ -23,6 +23,7 @@
 TTL = 2.0           # s that clients may hold an answer
 WAIT_DRAIN = 0.9    # s for a majority to hold a drain
 WAIT_CHANGE = 3.0   # s for the store
+COLD_TILL_HEARD = 1.6   # beats that a backend off the disk counts as cold at most
 LEAD_AGAIN = 0.6    # s for the store to number a term
 GOSSIP = 0.5        # s between words on who was heard
 COLD_PART = 0.9     # of what a cold backend bears, lent out
@@ -35,6 +36,14 @@
     message: list
 
 
+@dataclass(slots=True)
+class Save:
+    """Backends as they are now, and ids that are no more: on disk before what comes after it goes out."""
+
+    rows: list[list]
+    forgotten: list[str]
+
+
 @dataclass(slots=True)
 class Answer:
     asking: Asking
@@ -61,6 +70,13 @@
     return Reply(status, {"error_message": text}, headers=[("Retry-After", "0.2")] if status == 503 else [])
 
 
+def _check(value: dict) -> Result:
+    """By pydantic, which is loaded with the first change: a registry that restarts is up in half the time."""
+    from fennelpoint.system.forms import check
+
+    return check(value)
+
+
 class Desk:
     """One core machine's part of the registry."""
 
@@ -96,6 +112,10 @@
         self.whole_since: float | None = None   # since when these are a majority with us
         self.out: list = []
 
+    def restore(self, rows: list[list], now: float) -> None:
+        """What was on disk when this process started."""
+        self.backends.restore(rows, COLD_TILL_HEARD * self.beat, now)
+
     # Events
 
     def heard(self, peer: str, message: list, now: float) -> list:
@@ -148,7 +168,10 @@
             elif self.whole_since is None:
                 self.whole_since = now
             elif now - self.whole_since > 4.0 * self.beat:
-                self._push([b.told.id for b in self.backends.sweep(now, self.beat)], now)
+                lost, forgotten = self.backends.sweep(now, self.beat)
+                self._push([b.told.id for b in lost], now)
+                if forgotten:
+                    self.out.append(Save([], forgotten))
         return self._done()
 
     def _done(self) -> list:
@@ -182,7 +205,7 @@
 
     def _call_beat(self, asking: Asking, now: float) -> None:
         try:
-            value = forms.json.loads(asking.body)
+            value = versions.json.loads(asking.body)
             info, status = value["information"], value["status"]
             told = Told(asking.segment, str(value["address"]), str(info["service"]),
                         str(info["availability_zone"]), int(info["free_slots"]), str(info.get("version", "")),
@@ -289,6 +312,7 @@
         if not ids:
             return
         self.number += 1
+        self.out.append(Save([self.backends.known[id].now(now).pack() for id in ids], []))
         items = self._items(ids, now)
         for peer in self.fronts:
             self._send(peer, ["list", self.life, self.number, items, False])
@@ -348,8 +372,13 @@
             held = self.duty.holds(now)
             for peer in self.others:
                 self._send(peer, ["claim", list(term), held, self.duty.claims])
-            if self.duty.claimed(term, held, now):
-                self._voted(term, self.duty.claims, self.me, now)
+            if (firm := self.duty.claimed(term, held, now)) is not None:
+                self._voted(term, self.duty.claims, self.me, firm, now)
+        if self.duty.left is not None:
+            for peer in self.others:
+                self._send(peer, ["released", list(self.duty.left)])
+            self.duty.released(self.duty.left)
+            self.duty.left = None
         if self.leading is not None and now >= self.leading[1]:
             self.leading = None
             if self.duty.holds(now):
@@ -358,15 +387,25 @@
             self.enrolling = now + 0.4
             self._send(self.store, ["change", 0, "enrol", [sorted(self.waiting_in)], b""])
 
+    def _on_leads(self, peer: str, now: float, term: list) -> None:
+        """Who reckons parts has begun: the fronts here ask at once."""
+        if self.duty.holder is None or self.duty.holder[1] != term[1]:
+            self.duty.holder, self.duty.holder_at = (self.duty.highest, term[1]), now
+        for front in self.fronts:
+            self._send(front, ["tell", term])
+
     def _on_claim(self, peer: str, now: float, term: list, held: bool, number: int) -> None:
-        if self.duty.claimed(tuple(term), held, now):
-            self._send(peer, ["granted", term, number])
+        if (firm := self.duty.claimed(tuple(term), held, now)) is not None:
+            self._send(peer, ["granted", term, number, firm])
 
-    def _on_granted(self, peer: str, now: float, term: list, number: int) -> None:
-        self._voted(tuple(term), number, ip_of(peer), now)
+    def _on_released(self, peer: str, now: float, term: list) -> None:
+        self.duty.released(tuple(term))
 
-    def _voted(self, term: tuple, number: int, by: str, now: float) -> None:
-        if self.duty.voted(term, number, by, self._quorum, now):
+    def _on_granted(self, peer: str, now: float, term: list, number: int, firm: bool) -> None:
+        self._voted(tuple(term), number, ip_of(peer), firm, now)
+
+    def _voted(self, term: tuple, number: int, by: str, firm: bool, now: float) -> None:
+        if self.duty.voted(term, number, by, firm, self.world["voters"] if self.world else self.seeds, now):
             self._lead(now)
 
     def _lead(self, now: float) -> None:
@@ -380,6 +419,13 @@
         if self.duty.holds(now):
             self.steward = Steward([world["term"], self.me], world["fronts"], now)
             self.out.append(Note("LEADS", {"node": self.me, "term": world["term"]}))
+            self._call_fronts(now)
+
+    def _call_fronts(self, now: float) -> None:
+        """All fronts are to ask now: we have begun, or know by now what is lent."""
+        for peer in self.others:
+            self._send(peer, ["leads", self.steward.term])
+        self._on_leads(self.me, now, self.steward.term)
 
     def _on_want(self, peer: str, now: float, ip: str, life: int, region: str, stamp: float, seen: list, asked: dict,
                  holds: list | None) -> None:
@@ -391,6 +437,7 @@
             return
         self.waiting_in.discard(ip)
         self.steward.enrol([ip])
+        before = self.steward.settled(now)
         grant = self.steward.want(ip, life, region, seen, asked, holds, self.rates, self._cold(now), now)
         term = self.steward.term
         if grant is None:
@@ -403,6 +450,8 @@
             self._hand_on(answer)
         else:
             self._send(peer, answer)
+        if not before and self.steward.settled(now):
+            self._call_fronts(now)
 
     def _hand_on(self, answer: list) -> None:
         kind, ip, *rest = answer
@@ -429,7 +478,7 @@
     def _figures(self) -> None:
         """What the reckoning goes by, of the configuration that is newest here."""
         if (data := self.contents.get(self.world["digest"])) is not None:
-            value = forms.json.loads(zlib.decompress(data))
+            value = versions.json.loads(zlib.decompress(data))
             self.rates = {t["name"]: float(t.get("rate_per_s") or 0.0) for t in value.get("tenants", ())
                           if t.get("rate_per_s")}
             self.cold_by = {c["name"]: (float(c.get("cold_start_s") or 0.0), float(c.get("cold_rate_s") or 0.0))
@@ -527,23 +576,23 @@
             held.then([status, reason])
 
     def _call_put(self, asking: Asking, now: float) -> None:
-        read = forms.decode(asking.body).and_then(
-            lambda value: forms.numbers(value).and_then(lambda n: forms.check(value).map(lambda _: (value, n))))
+        read = versions.decode(asking.body).and_then(
+            lambda value: versions.numbers(value).and_then(lambda n: _check(value).map(lambda _: (value, n))))
         if isinstance(read, Err):
             return self._answer(asking, fault(read.err_value.status, str(read.err_value)))
         value, (version, base) = read.ok_value
-        self._agree(asking, now, version, base, forms.digest(b"PUT" + asking.body), value)
+        self._agree(asking, now, version, base, versions.digest(b"PUT" + asking.body), value)
 
     def _agree(self, asking: Asking, now: float, version: int, base: int, sent: str, value: dict) -> None:
-        data = zlib.compress(forms.encode(value), 1)
-        self._change(asking, now, "put", [version, base, sent, forms.digest(data)], data)
+        data = zlib.compress(versions.encode(value), 1)
+        self._change(asking, now, "put", [version, base, sent, versions.digest(data)], data)
 
     def _call_patch(self, asking: Asking, now: float) -> None:
-        read = forms.decode(asking.body).and_then(lambda v: forms.numbers(v).map(lambda n: (v, n)))
+        read = versions.decode(asking.body).and_then(lambda v: versions.numbers(v).map(lambda n: (v, n)))
         if isinstance(read, Err):
             return self._answer(asking, fault(read.err_value.status, str(read.err_value)))
         value, (version, base) = read.ok_value
-        sent = forms.digest(b"PATCH" + asking.body)
+        sent = versions.digest(b"PATCH" + asking.body)
 
         def with_world(got: list) -> None:
             if (world := got[0]) is None:
@@ -555,8 +604,8 @@
             self._with_content(world["digest"], lambda: merged(world["digest"]))
 
         def merged(digest: str) -> None:
-            held = forms.decode(zlib.decompress(self.contents[digest])).unwrap()
-            made = forms.merge(held, value).and_then(lambda whole: forms.check(whole).map(lambda _: whole))
+            held = versions.decode(zlib.decompress(self.contents[digest])).unwrap()
+            made = versions.merge(held, value).and_then(lambda whole: _check(whole).map(lambda _: whole))
             if isinstance(made, Err):
                 return self._answer(asking, fault(made.err_value.status, str(made.err_value)))
             self._agree(asking, now, version, base, sent, made.ok_value)
--- /dev/null
+++ b/fennelpoint/system/roll/disk.py
@@ -0,0 +1,85 @@
+"""What a registry keeps on disk: backends as last told, so that a core that lost all its processes knows them at once.
+
+A drain is on disk before it is acknowledged.  A file that can't be used is set aside with one line and begun anew;
+a disk that refuses writes costs nothing but this.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+from pathlib import Path
+
+import msgpack
+
+from fennelpoint.system.events import Event, say
+
+SCHEMA = 1
+TABLES = """
+CREATE TABLE IF NOT EXISTS about (key TEXT PRIMARY KEY, value TEXT NOT NULL) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS backends (id TEXT PRIMARY KEY, row BLOB NOT NULL) WITHOUT ROWID;
+"""
+
+
+class Disk:
+    """The file of one registry; `rows` are what it held when it was opened."""
+
+    def __init__(self, folder: str | None) -> None:
+        self.db: sqlite3.Connection | None = None
+        self.rows: list[list] = []
+        if not folder:
+            return
+        path = Path(folder) / "roll.sqlite"
+        for _ in range(2):
+            try:
+                path.parent.mkdir(parents=True, exist_ok=True)
+                self._open(path)
+                return
+            except (sqlite3.Error, OSError, ValueError, TypeError) as error:
+                say(Event.SET_ASIDE, path=path, reason=error)
+                self._aside(path)
+
+    def _open(self, path: Path) -> None:
+        self.db = sqlite3.connect(path, isolation_level=None)
+        self.db.execute("PRAGMA synchronous=FULL")
+        self.db.execute("PRAGMA locking_mode=EXCLUSIVE")
+        self.db.execute("PRAGMA journal_mode=WAL")
+        self.db.executescript(TABLES)
+        self.db.execute("INSERT OR IGNORE INTO about VALUES ('schema', ?)", (str(SCHEMA),))
+        (schema,) = self.db.execute("SELECT value FROM about WHERE key = 'schema'").fetchone()
+        if schema != str(SCHEMA):
+            raise ValueError(f"it has schema {schema}")
+        rows = [msgpack.unpackb(row) for (row,) in self.db.execute("SELECT row FROM backends")]
+        if any(not isinstance(row, list) or len(row) != 10 for row in rows):
+            raise ValueError("its rows are no backends")
+        self.rows = rows
+
+    def _aside(self, path: Path) -> None:
+        try:
+            if self.db is not None:
+                self.db.close()
+            self.db = None
+            for suffix in ("-wal", "-shm"):
+                path.with_name(path.name + suffix).unlink(missing_ok=True)
+            if path.exists():
+                path.rename(path.with_suffix(f".bad-{path.stat().st_mtime_ns}"))
+        except (OSError, sqlite3.Error) as error:
+            say(Event.DISK, step="set aside", reason=error)
+
+    def save(self, rows: list[list], forgotten: list[str]) -> None:
+        """These are what they are from now on, and those are no more; on disk when it returns."""
+        if self.db is None:
+            return
+        try:
+            self.db.execute("BEGIN")
+            self.db.executemany("INSERT OR REPLACE INTO backends VALUES (?, ?)",
+                                [(row[0], msgpack.packb(row)) for row in rows])
+            self.db.executemany("DELETE FROM backends WHERE id = ?", [(id,) for id in forgotten])
+            self.db.execute("COMMIT")
+        except sqlite3.Error as error:
+            say(Event.DISK, step="backends", reason=error)
+            if self.db.in_transaction:
+                self.db.execute("ROLLBACK")
+
+    def close(self) -> None:
+        if self.db is not None:
+            self.db.close()
--- a/fennelpoint/system/roll/duty.py
+++ b/fennelpoint/system/roll/duty.py
@@ -1,15 +1,18 @@
 """A duty that one core machine does: held by a lease that a majority granted, and left before it ends.
 
-Each registry grants to one at a time, in memory.  One that has just started does not know what it granted before, so
-it grants nothing until that must have ended.  The holder counts its lease from the sending of its claim.
+Each registry grants to one at a time, in memory.  One that has just started does not know what it granted before: its
+grant is not firm until that must have ended.  A majority of firm grants gives the duty, or the grants of all that
+vote, firm or not: whoever holds it grants it to nobody else.  The holder counts its lease from the sending of its claim.
 """
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 SPAN, MARGIN = 1.2, 0.15    # s of a grant; s before its end that the holder stops
 RENEW = 0.3                 # s between claims of the holder
+REPEAT, TRY = 0.12, 0.5     # s between claims that have not won yet, and until these are given up
 TURN = 0.12                 # s that each further one in line waits before it claims, too
 
 Term = tuple[int, str]
@@ -27,9 +30,11 @@
     term: Term | None = None    # ours, while we hold or claim it
     held_until: float = -1e9
     again: float = -1e9     # we claim no sooner, after a claim that came to nothing
+    tried_at: float = -1e9  # when we began to claim
+    left: Term | None = None    # a claim that came to nothing, to be told to all
     claimed_at: float = -1e9
     claims: int = 0         # so many were sent: a grant counts for the claim that it answers
-    votes: set[str] = field(default_factory=set)
+    votes: dict[str, bool] = field(default_factory=dict)    # by whom, and whether firm
     holder: Term | None = None  # who holds it, as far as is known here
     holder_at: float = -1e9
 
@@ -42,40 +47,49 @@
             if now - self.claimed_at < RENEW:
                 return None
         else:
-            if self.term is not None:
-                if now - self.claimed_at < SPAN / 2:
+            if self.term is not None and now < self.tried_at + TRY:
+                if now - self.claimed_at < REPEAT:
                     return None     # it is under way
-                self.term = None    # it was not to be: what others granted us meanwhile has to end first
-                self.again = now + SPAN + TURN * rank
-            if not whole or now < max(self.again, self.grants_from + TURN * rank):
+                self.claimed_at, self.votes, self.claims = now, {}, self.claims + 1
+                return self.term    # some may not have been there to hear it
+            if self.term is not None:
+                self.left, self.term = self.term, None  # it was not to be: another may be granted it
+                self.again = now + TURN * (rank + 1)
+            if not whole or now < max(self.again, self.grants_from - SPAN + TURN * (rank + 1)):
                 return None
             if now < max(self.holder_at + SPAN, self.until if self.granted != self.me else now) + TURN * rank:
                 return None     # another one holds it, or may
-            self.term = (self.highest + 1, self.me)
-        self.claimed_at, self.votes, self.claims = now, set(), self.claims + 1
+            self.term, self.tried_at = (self.highest + 1, self.me), now
+        self.claimed_at, self.votes, self.claims = now, {}, self.claims + 1
         self.highest = max(self.highest, self.term[0])
         return self.term
 
-    def claimed(self, term: Term, held: bool, now: float) -> bool:
-        """Whether a claim is granted; `held`: its sender holds the duty already."""
+    def claimed(self, term: Term, held: bool, now: float) -> bool | None:
+        """Whether a claim is granted, and firmly; none: it is not.  `held`: its sender holds the duty already."""
         self.highest = max(self.highest, term[0])
         if held and (self.holder is None or term >= self.holder):
             self.holder, self.holder_at = term, now
-        if now < self.grants_from or now < self.until and self.granted != term[1]:
-            return False
+        if now < self.until and self.granted != term[1]:
+            return None
         self.granted, self.until = term[1], now + SPAN
-        return True
+        return now >= self.grants_from
 
-    def voted(self, term: Term, claim: int, by: str, quorum, now: float) -> bool:
-        """A grant came; whether we hold the duty by it and did not before.  `quorum` judges the voters."""
+    def voted(self, term: Term, claim: int, by: str, firm: bool, voters: Collection[str], now: float) -> bool:
+        """A grant came; whether we hold the duty by it and did not before."""
         if term != self.term or claim != self.claims:
             return False
-        self.votes.add(by)
-        if not quorum(self.votes):
+        self.votes[by] = firm
+        firmly = sum(self.votes.get(ip, False) for ip in voters)
+        if 2 * firmly <= len(voters) and not all(ip in self.votes for ip in voters):
             return False
         before, self.holder, self.holder_at = self.holds(now), term, now
         self.held_until = max(self.held_until, self.claimed_at + SPAN - MARGIN)
         return not before and self.holds(now)
 
+    def released(self, term: Term) -> None:
+        """A claim that we may have granted came to nothing."""
+        if self.granted == term[1]:
+            self.until = -1e9
+
     def leave(self) -> None:
         self.term, self.held_until = None, -1e9
--- a/fennelpoint/system/roll/program.py
+++ b/fennelpoint/system/roll/program.py
@@ -8,7 +8,8 @@
 
 from fennelpoint.system.events import Event, say
 from fennelpoint.system.mesh import Mesh, name
-from fennelpoint.system.roll.desk import Answer, Desk, Note, Send
+from fennelpoint.system.roll.desk import Answer, Desk, Note, Save, Send
+from fennelpoint.system.roll.disk import Disk
 from fennelpoint.system.settings import Settings
 from fennelpoint.system.web import Asking, Reply, Web
 
@@ -24,6 +25,8 @@
         self.desk = Desk(settings.ip_address, settings.availability_zone, settings.region, settings.zones,
                          settings.seeds, listen.control_plane[1], settings.rule_bounds, settings.heartbeat_s,
                          secrets.randbits(40), settings.first_start, time.monotonic())
+        self.disk = Disk(settings.data_directory)
+        self.desk.restore(self.disk.rows, time.monotonic())
         self.mesh = Mesh(loop, "roll", settings.ip_address, settings.internal_ports, self.take, self.linked)
         self.web = Web(loop, self.call)
         self.stopped = loop.create_future()
@@ -59,6 +62,8 @@
             match action:
                 case Send(to, message):
                     self.mesh.send(to, message)
+                case Save(rows, forgotten):
+                    self.disk.save(rows, forgotten)
                 case Answer(asking, reply):
                     asking.answer(reply)
                 case Note(event, fields):
@@ -73,4 +78,5 @@
 
     def close(self) -> None:
         self.mesh.close()
+        self.disk.close()
         self.web.close()
--- a/fennelpoint/system/roll/steward.py
+++ b/fennelpoint/system/roll/steward.py
@@ -71,7 +71,7 @@
             if ip not in self.fronts:
                 self.fronts[ip] = Front(ip, known=True)
 
-    def _settled(self, now: float) -> bool:
+    def settled(self, now: float) -> bool:
         """Whether nothing is lent that we don't know of."""
         over = now - self.since > LIFE + SLACK
         return over or all(f.known for f in self.fronts.values())
@@ -118,7 +118,7 @@
 
     def _free(self, kind: str, key: str, whole: int, front: Front, now: float) -> int:
         """What may be lent to it of one thing; while something is unknown, no more than it holds."""
-        if not self._settled(now):
+        if not self.settled(now):
             return front.out(kind, key, now)
         return max(0, whole - sum(f.out(kind, key, now) for f in self.fronts.values() if f is not front))
 
--- a/fennelpoint/system/roll/view.py
+++ b/fennelpoint/system/roll/view.py
@@ -94,17 +94,26 @@
         revived, b.lost = b.lost, False
         return revived
 
-    def sweep(self, now: float, beat: float) -> list[Backend]:
-        """Those that are lost from now on; forgets those gone for long."""
-        lost = []
+    def restore(self, rows: list[list], cold: float, now: float) -> None:
+        """What was on disk: whether they are cold is not known, so they count as cold till they speak."""
+        for row in rows:
+            told = Told(*row)
+            if told.state != GONE:
+                told.cold, told.age = cold, 0.0
+                self.fold(told, now)
+
+    def sweep(self, now: float, beat: float) -> tuple[list[Backend], list[str]]:
+        """Those that are lost from now on, and the ids of those that are forgotten, gone for long."""
+        lost, forgotten = [], []
         for id, b in list(self.known.items()):
             if b.told.state == GONE:
                 if now - b.gone_at > FORGET:
                     del self.known[id]
+                    forgotten.append(id)
             elif not b.lost and now - b.heard > LOST_AFTER * beat:
                 b.lost = True
                 lost.append(b)
-        return lost
+        return lost, forgotten
 
 
 @dataclass(slots=True)
--- a/fennelpoint/system/span/decide.py
+++ b/fennelpoint/system/span/decide.py
@@ -18,6 +18,7 @@
 QUEUE = 1.0         # of a backend's slots, own tries out beyond them
 SECOND = 1.02       # s in which a cold backend's part is counted, with what timers and clocks are off
 WINDOW_LEAST = 2.0  # tries out that a service's window always allows
+FRESH = 1.0         # s of an own part that a process has saved up when it begins
 ADVICE = 0.15       # s, at least, after which a refused client is told to come again
 
 
@@ -68,7 +69,7 @@
 
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
-        self.shares, self.floor = {}, 0.0
+        self.shares, self.floor, self.lent = {}, 0.0, False
         self.places = Places({}, {}, {})
         self.sent_cold: dict[object, deque] = {}    # when tries were sent to a cold backend
         self.budgets: dict[str, Budget] = {}
@@ -91,9 +92,14 @@
 
     def _lent(self, event: Shares, now: float) -> None:
         """What is taken back is gone at once; what is given fills with time."""
+        fresh = bool(event.shares) and not self.lent
+        self.lent = self.lent or fresh
         self.shares, self.floor, self.slack = event.shares, event.floor, event.slack
         for c in self.customers.values():
-            self._fill(c, now)
+            if fresh:   # nobody else was lent our part while we started; a second of it at most
+                c.filled = max(self.born, now - FRESH)
+            else:
+                self._fill(c, now)
             c.share = self._share_of(c.key)
             c.level = min(c.level, self._depth(c))
 
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -14,7 +14,7 @@
 from fennelpoint.lifecycle import LifeCycle, Step
 from fennelpoint.net.server import Server
 from fennelpoint.system.events import Event, say
-from fennelpoint.system.forms import compile_version
+from fennelpoint.system.versions import compile_version
 from fennelpoint.system.mesh import Mesh
 from fennelpoint.system.roll.steward import WHOLE
 from fennelpoint.system.roll.view import DRAINING, GONE
@@ -42,11 +42,11 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, settings: Settings) -> None:
         self.loop, self.settings, self.random = loop, settings, Random()
         bounds, listen = settings.rule_bounds, settings.listen_addresses
-        room = plan(settings.limits.file_descriptors)
+        room = plan(int(settings.limits.file_descriptors))
         self.budget = Budget(budget_of(settings.limits.memory_mb))
         given = api.Settings(0, 1, 0, [api.RequestClass("none", 1.0, 1.0, 1.0, api.Effect.UNSAFE)],
                              [api.Plan("public", 1.0)], 8, 0.0, 1.0, 0.0, 1.0, 1.0, 0.0, 0.001, most_units=1.0,
-                             may_cancel=True, may_advise=True, max_advice=1.0, connect_timeout=CONNECT)
+                             may_cancel=True, may_advise=True, max_advice=0.5, connect_timeout=CONNECT)
         self.backends = SystemBackends(loop, room.upstream, CONNECT, 0.0, self.budget)
         self.host = SystemHost(loop, given, self.random.getrandbits(32), self.backends, None, self.budget, Decider)
         self.host.gate = self.allows
@@ -124,8 +124,8 @@
     def _apply(self, number: int, data: bytes) -> None:
         version = compile_version(zlib.decompress(data))
         self.reader.take(version)
-        self.server.idle_timeout = max(5.0, version.limits.idle_timeout_s)
-        self.server.head_timeout = max(2.5, version.limits.header_timeout_s)
+        self.server.idle_timeout = max(5.0, version.limits.idle_timeout)
+        self.server.head_timeout = max(2.5, version.limits.header_timeout)
         self.grown()
         self._lend()
         self._refresh()
@@ -186,7 +186,7 @@
             cluster = clusters.get(b.told.service)
             until = b.cold_until
             if cluster is not None and zone in self.restored:
-                until = max(until, self.restored[zone] + cluster.cold_start_s)
+                until = max(until, self.restored[zone] + cluster[0])
             if cluster is not None and until > now:
                 # The module's clock is the host's, whose moments the steady clock's are not.
                 cold[id] = (until + self.host.clock.offset, self.tether.parts.cold.get(id, 0))
--- a/fennelpoint/system/span/reader.py
+++ b/fennelpoint/system/span/reader.py
@@ -15,7 +15,7 @@
 from fennelpoint.net.backends import HOP_BY_HOP
 from fennelpoint.net.host import Asked
 from fennelpoint.net.server import BadRequest, Reader, Reply, framing
-from fennelpoint.system.forms import Holder, Route, Version
+from fennelpoint.system.versions import Holder, Route, Version
 
 ID = re.compile(rb"[!-~]{1,128}")
 MOST_LEFT_MS = 3_600_000
