System: state machines of lent parts and of the duty

Change: hypothesis machines with lost, late and doubled grants, dying fronts and reckoners that know nothing; claims and grants of a duty with restarts.

--- /dev/null
+++ b/tests/system/test_parts.py
@@ -0,0 +1,138 @@
+"""Parts add up whatever is lost, late or said twice, whoever reckons, and whichever front dies."""
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from fennelpoint.system.roll.duty import SPAN, Duty
+from fennelpoint.system.roll.steward import LIFE, WHOLE, Steward
+from fennelpoint.system.span.tether import Tether
+
+FRONTS, RATES = ("f1", "f2", "f3"), {"t1": 20.0, "t2": 3.0}
+COLD = {"s1": (11, "ra")}
+
+
+class Lending(RuleBasedStateMachine):
+    """Fronts, one reckoner after the other, and messages that come late, twice or never."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.now, self.term, self.lives = 0.0, 1, {}
+        self.fronts: dict[str, Tether] = {}
+        self.sent: list[tuple[str, int, list]] = []     # grants on their way
+        self.steward = Steward([1, "a"], FRONTS, self.now)
+        for ip in FRONTS:
+            self._start(ip)
+
+    def _start(self, ip: str) -> None:
+        self.lives[ip] = self.lives.get(ip, 0) + 1
+        self.fronts[ip] = Tether(ip, "za", "ra", {"za": "ra"}, ["a"], {}, self.now)
+
+    @rule(ip=st.sampled_from(FRONTS), asked=st.dictionaries(st.sampled_from(["t1", "t2"]), st.integers(1, 30)))
+    def ask(self, ip: str, asked: dict) -> None:
+        front = self.fronts[ip]
+        parts = front.parts
+        holds = [parts.quotas, parts.cold, parts.slack] if front.holds and parts.number else None
+        seen = [parts.term, parts.number]
+        grant = self.steward.want(ip, self.lives[ip], "ra", seen, asked, holds, RATES, COLD, self.now)
+        if grant is None:
+            front.holds = True
+        else:
+            same = [self.steward.term, grant.number] == seen
+            self.sent.append((ip, self.lives[ip], [self.now, self.steward.term, grant.number,
+                                                   None if same else grant.pack()]))
+
+    @precondition(lambda self: self.sent)
+    @rule(which=st.integers(0, 50), twice=st.booleans())
+    def arrive(self, which: int, twice: bool) -> None:
+        ip, life, grant = self.sent[which % len(self.sent)]
+        if not twice:
+            self.sent.remove((ip, life, grant))
+        if life == self.lives[ip]:
+            self.fronts[ip]._on_lend("roll@a", self.now, *grant)
+
+    @precondition(lambda self: self.sent)
+    @rule()
+    def lose(self) -> None:
+        self.sent.pop()
+
+    @rule(span=st.sampled_from([0.1, 0.5, 2.0, LIFE]))
+    def wait(self, span: float) -> None:
+        self.now += span
+        for front in self.fronts.values():
+            front.tick(self.now)
+
+    @rule(ip=st.sampled_from(FRONTS))
+    def die(self, ip: str) -> None:
+        self._start(ip)
+
+    @rule()
+    def another(self) -> None:
+        """The reckoner is gone, and another one begins; nothing of what it knew is left."""
+        self.term += 1
+        self.steward = Steward([self.term, "b"], FRONTS, self.now)
+
+    @invariant()
+    def adds_up(self) -> None:
+        parts = [f.parts for f in self.fronts.values() if self.now < f.parts.until]
+        for tenant in RATES:
+            assert sum(p.quotas.get(tenant, 0) for p in parts) <= WHOLE
+        assert sum(p.cold.get("s1", 0) for p in parts) <= 11
+        assert sum(p.slack for p in parts) <= WHOLE
+
+
+class Holding(RuleBasedStateMachine):
+    """Five machines that want one duty, with grants that are lost or late, and restarts that forget."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.now, self.names = 0.0, [f"m{i}" for i in range(5)]
+        self.all = {n: Duty(n, 0.0) for n in self.names}
+        self.mail: list[tuple] = []
+
+    @rule(who=st.integers(0, 4))
+    def claim(self, who: int) -> None:
+        name = self.names[who]
+        duty = self.all[name]
+        held = duty.holds(self.now)
+        if (term := duty.due(self.now, who, True)) is not None:
+            for other in self.names:
+                self.mail.append(("claim", other, name, term, held, duty.claims))
+        if duty.left is not None:
+            for other in self.names:
+                self.all[other].released(duty.left)
+            duty.left = None
+
+    @precondition(lambda self: self.mail)
+    @rule(which=st.integers(0, 30), back=st.booleans())
+    def deliver(self, which: int, back: bool) -> None:
+        kind, to, source, term, what, number = self.mail.pop(which % len(self.mail))
+        duty = self.all[to]
+        if kind == "claim":
+            if (firm := duty.claimed(term, what, self.now)) is not None:
+                message = ("granted", source, to, term, firm, number)
+                self._granted(message) if back else self.mail.append(message)
+        else:
+            self._granted((kind, to, source, term, what, number))
+
+    def _granted(self, message: tuple) -> None:
+        _, to, source, term, firm, number = message
+        self.all[to].voted(term, number, source, firm, self.names, self.now)
+
+    @rule(span=st.sampled_from([0.05, 0.12, 0.3, 0.6, SPAN]))
+    def wait(self, span: float) -> None:
+        self.now += span
+
+    @rule(who=st.integers(0, 4))
+    def restart(self, who: int) -> None:
+        name = self.names[who]
+        self.all[name] = Duty(name, self.now + SPAN)
+        self.mail = [m for m in self.mail if m[1] != name]
+
+    @invariant()
+    def one_holds(self) -> None:
+        assert sum(d.holds(self.now) for d in self.all.values()) <= 1
+
+
+Lending.TestCase.settings = settings(max_examples=150, stateful_step_count=40)
+Holding.TestCase.settings = settings(max_examples=150, stateful_step_count=50)
+TestLending, TestHolding = Lending.TestCase, Holding.TestCase
