--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -157,3 +157,13 @@
 Lending.TestCase.settings = settings(max_examples=150, stateful_step_count=40)
 Holding.TestCase.settings = settings(max_examples=150, stateful_step_count=50)
 TestLending, TestHolding = Lending.TestCase, Holding.TestCase
+
+
+def test_a_grant_that_comes_late_does_not_count_for_the_claim_after_it() -> None:
+    one, voters = Duty("a", 0.0), ["a", "b", "c"]
+    term = one.due(0.0, 0, True)
+    assert one.due(0.3, 0, True) == term and one.claims == 2     # the first one's grants are still on their way
+    assert not any(one.voted(term, 1, ip, True, voters, 0.4) for ip in voters)
+    assert not one.holds(0.4)
+    assert not one.voted(term, 2, "b", True, voters, 0.5) and one.voted(term, 2, "c", True, voters, 0.5)
+    assert one.holds(0.3 + SPAN - 0.2) and not one.holds(0.3 + SPAN)
