System: a front that is cut off from the core goes on by way of other fronts

Change: asks, their stamps unchanged, and answers are passed on by a front that hears a core machine; leases, parts, lists and configurations come by that way.

--- a/fennelpoint/standins/core_world.py
+++ b/fennelpoint/standins/core_world.py
@@ -178,7 +178,7 @@
             self._writ(self.cores[ip], self.cores[ip].store.heard(whose, message, self.now))
         elif role == "roll":
             self._roll(self.cores[ip], self.cores[ip].desk.heard(source, message, self.now))
-        elif self.links.get((to, source), (False, 0.0))[0]:
+        elif self.links.get((to, source), (False, 0.0))[0] or source.startswith("span@"):
             self._span(self.fronts[ip], self.fronts[ip].tether.heard(source, message, self.now))
 
     def _writ(self, core: Core, actions: list) -> None:
--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -94,6 +94,8 @@
         self.number = 0         # of the newest change of the list
         self.calls: dict[int, Held] = {}
         self.tokens = 0
+        self.helpers: dict[str, str] = {}       # fronts that are cut off from here, and who passes words on for them
+        self.told_fronts: list[str] = []
         self.about: dict[str, dict] = {}        # what fronts that are connected said of themselves
         self.duty = Duty(me, now if first else now + SPAN)  # a first start: nothing was granted before
         self.steward: Steward | None = None     # while the duty of reckoning parts is ours
@@ -120,6 +122,7 @@
 
     def heard(self, peer: str, message: list, now: float) -> list:
         kind, *rest = message
+        self.helpers.pop(peer, None)    # it speaks for itself
         do = getattr(self, f"_on_{kind}", None)
         if do is not None:
             do(peer, now, *rest)
@@ -138,9 +141,13 @@
             items = [b.now(now).pack() for b in self.backends.known.values()]
             if items:
                 self._send(peer, ["backends", 0, items])
-        elif peer.startswith("span@") and not up:
-            self.fronts.pop(peer, None)
-            self.about.pop(peer, None)
+        elif peer.startswith("span@"):
+            if not up:
+                passed = [f for f, helper in self.helpers.items() if helper == peer]
+                for front in passed if peer in self.helpers else [peer, *passed]:
+                    self.fronts.pop(front, None)
+                    self.about.pop(front, None)
+                    self.helpers.pop(front, None)
         elif peer == self.store and up:
             self.reading = None
             self._read(now)
@@ -179,6 +186,8 @@
         return out
 
     def _send(self, to: str, message: list) -> None:
+        if (helper := self.helpers.get(to)) is not None:
+            to, message = helper, ["passed", ip_of(to), message]
         self.out.append(Send(to, message))
 
     def _answer(self, asking: Asking, reply: Reply) -> None:
@@ -291,6 +300,11 @@
             else:
                 brief.append([m.ip, round(now - m.heard, 2)])
         news, self.news = sorted(self.news), set()
+        fronts = sorted(m.ip for m in self.members.known.values() if m.ready and now - m.heard < FRESH)
+        if fronts != self.told_fronts:
+            self.told_fronts = fronts
+            for front in self.fronts:
+                self._send(front, ["fronts", fronts])
         if whole or brief or news:
             for peer in self.others:
                 self._send(peer, ["heard", news, whole, brief])
@@ -335,10 +349,19 @@
             self._push(changed, now)
         self.fronts[peer] = 0
         self._send(peer, ["list", self.life, self.number, self._items(list(self.backends.known), now), True])
+        self._send(peer, ["fronts", self.told_fronts])
         if self.world:
             self._send(peer, ["core", self.core])
             self._send(peer, ["world", *self._brief()])
 
+    def _on_pass(self, peer: str, now: float, ip: str, message: list) -> None:
+        """A front that can't reach us speaks by way of another; the answers go back by the same way."""
+        front = name("span", ip)
+        self.helpers[front] = peer
+        do = {"front": self._on_front, "ask": self._on_ask, "need": self._on_need}.get(message[0])
+        if do is not None:
+            do(front, now, *message[1:])
+
     def _brief(self) -> list:
         w = self.world
         return [w["rev"], w["version"], w["digest"], w["evac"]]
@@ -346,7 +369,7 @@
     def _on_ask(self, peer: str, now: float, stamp: float, ready: bool, heard: int, want: list) -> None:
         """A front's ask: for its lease, and by `want` for its parts; `heard` acknowledges changes of the list."""
         if (about := self.about.get(peer)) is None:
-            return
+            return self._send(peer, ["who"])
         self.members.fold(ip_of(peer), about["address"], about["zone"], about["region"], about["life"], ready, 0.0,
                           now, True)
         self.fronts[peer] = heard
--- a/fennelpoint/system/span/tether.py
+++ b/fennelpoint/system/span/tether.py
@@ -9,12 +9,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from fennelpoint.system.mesh import name
+from fennelpoint.system.mesh import ip_of, name
 from fennelpoint.system.roll.view import Backends, Told
 
 LIFE = 4.2          # s of a lease, from the sending of the ask
 RENEW = 0.5         # s between asks
 PATIENCE = 0.4      # s without an answer after which another core machine is asked, too
+CUT, HELPERS = 0.9, 2   # s without an answer after which other fronts are asked to pass words on; how many
 AGAIN = 0.6         # s after which a content is asked for anew
 
 
@@ -90,9 +91,17 @@
     number: int = 0         # of the list's newest change that was heard
     lists: set[str] = field(default_factory=set)    # core machines whose whole list came
     up: set[str] = field(default_factory=set)
+    others: list[str] = field(default_factory=list)     # fronts that are ready, by IP address
+    helper: str = ""        # who passes our words on
+    helper_at: float = -1e9
+    turn: int = 0
     asked_at: float = -1e9
     answered_at: float = -1e9
     helped: bool = False    # the second one was asked, too
+    helped_at: float = -1e9
+    direct_at: float = -1e9     # when a core machine last answered without a helper
+    seen: bool = False      # we have held a lease
+    cut: bool = False       # no core machine answers
     pending: dict[str, list] = field(default_factory=dict)  # leases that wait for a content: until, by digest
     wanted_at: float = -1e9
     out: list = field(default_factory=list)
@@ -113,17 +122,30 @@
         """Those to hold connections to: the nearest, and one in each of two other regions."""
         order, chosen, regions = self.order(), [], set()
         if not self.core:
-            return {name("roll", ip) for ip in order}
+            return {name("roll", ip) for ip in order} | self.helping()
         for ip in order:
             region = self.regions.get(self.core.get(ip, ""), ip)
             if region not in regions or ip == order[0]:
                 regions.add(region)
                 chosen.append(ip)
-        return {name("roll", ip) for ip in chosen[:3]}
+        return {name("roll", ip) for ip in chosen[:3]} | self.helping()
+
+    def helping(self) -> set[str]:
+        """Other fronts, while no core machine is heard: some of them may still reach one."""
+        if not self.cut or not self.others:
+            return set()
+        ring = [ip for ip in self.others if ip != self.me]
+        return {name("span", ring[(self.turn + i) % len(ring)]) for i in range(min(HELPERS, len(ring)))}
 
     # Events
 
     def linked(self, peer: str, up: bool, now: float) -> list:
+        if peer.startswith("span@"):
+            if up and self.cut and peer in self.helping() and not self.helper:
+                self._by(peer, now)
+            elif not up and peer == self.helper:
+                self.helper = ""
+            return self._done()
         if up:
             self.up.add(peer)
             known = [b.now(now).pack() for b in self.backends.known.values()]
@@ -142,7 +164,41 @@
             do(peer, now, *rest)
         return self._done()
 
+    def _by(self, peer: str, now: float) -> None:
+        """Speak to the core by way of another front from now on."""
+        self.helper, self.helper_at = peer, now
+        known = [b.now(now).pack() for b in self.backends.known.values()]
+        self._send(peer, ["pass", ["front", self.about, known]])
+        self._ask_by_helper(now)
+
+    def _ask_by_helper(self, now: float) -> None:
+        parts = self.parts
+        holds = [parts.quotas, parts.cold, parts.slack] if self.holds and parts.number else None
+        self._send(self.helper, ["pass", ["ask", now, self.ready, self.number,
+                                          [[parts.term, parts.number], self.asked(), holds]]])
+
+    def _on_pass(self, peer: str, now: float, message: list) -> None:
+        """Another front asks us to pass a word on: we add no trust, as it carries its own stamp."""
+        reached = [p for p in (name("roll", ip) for ip in self.order()) if p in self.up]
+        if reached and not self.cut and message[0] in ("front", "ask", "need"):
+            self._send(reached[0], ["pass", ip_of(peer), message])
+
+    def _on_passed(self, peer: str, now: float, ip: str, message: list) -> None:
+        """A core machine's word: for us by way of `peer`, or for another front by way of us."""
+        if ip != self.me:
+            return self._send(name("span", ip), ["passed", ip, message])
+        if peer == self.helper:
+            self.out += self.heard(peer, message, now) if message[0] != "passed" else []
+
     def tick(self, now: float) -> list:
+        self.cut = self.seen and now - self.direct_at > CUT
+        if not self.cut:
+            self.helper = ""
+        if self.helper and now - self.answered_at > 2.0 * CUT and now - self.helper_at > CUT:
+            self.helper, self.turn = "", self.turn + HELPERS
+        if self.helper and now - self.helped_at >= RENEW:
+            self.helped_at = now
+            self._ask_by_helper(now)
         reached = [p for p in (name("roll", ip) for ip in self.order()) if p in self.up]
         if now - self.asked_at >= RENEW and reached:
             self._ask(reached[:1], now)
@@ -198,6 +254,17 @@
         if changed or whole:
             self.out.append(Refresh())
 
+    def _on_fronts(self, peer: str, now: float, fronts: list) -> None:
+        self.others = fronts
+
+    def _on_who(self, peer: str, now: float) -> None:
+        """A core machine does not know us yet, or any more."""
+        known = [b.now(now).pack() for b in self.backends.known.values()]
+        if peer == self.helper:
+            self._send(peer, ["pass", ["front", self.about, known]])
+        else:
+            self._send(peer, ["front", self.about, known])
+
     def _on_core(self, peer: str, now: float, core: dict) -> None:
         self.core = core
 
@@ -207,7 +274,10 @@
             self.holds = True
             if not self.parts.number:
                 self.parts.term = term
-            self._ask([peer], now)
+            if peer == self.helper:
+                self._ask_by_helper(now)
+            else:
+                self._ask([peer], now)
 
     def _on_lend(self, peer: str, now: float, stamp: float, term: list, number: int, parts: list | None) -> None:
         """Parts, by an ask of ours at `stamp`; none: those that we go by are ours for longer."""
@@ -241,6 +311,8 @@
         self.wanted_at = now
         for peer in [p for p in (name("roll", ip) for ip in self.order()) if p in self.up][:2]:
             self._send(peer, ["need", self.digest])
+        if self.helper:
+            self._send(self.helper, ["pass", ["need", self.digest]])
 
     def _on_content(self, peer: str, now: float, digest: str, data: bytes) -> None:
         if digest != self.digest or digest == self.applied:
@@ -255,6 +327,8 @@
                   evac: list) -> None:
         """The newest there was when we asked, at `stamp` on our own clock."""
         self.answered_at = max(self.answered_at, stamp)
+        if peer.startswith("roll@"):
+            self.direct_at = now
         self._newest(rev, version, digest, evac, now)
         if rev > self.rev or not self.digest:
             return
@@ -266,7 +340,7 @@
     def _extend(self, until: float, now: float) -> None:
         self.until = max(self.until, until)
         if not self.held and now < self.until and self.lists:
-            self.held = True
+            self.held = self.seen = True
             self.out.append(Hold(True))
 
     def allows(self, now: float) -> bool:
