--- a/fennelpoint/system/mesh.py
+++ b/fennelpoint/system/mesh.py
@@ -17,7 +17,7 @@
 from fennelpoint.system.frames import BadFrame, Unpacker, pack
 
 ROLES = ("writ", "roll", "span")     # in the order of their internal ports
-CONNECT, PING, SILENT = 0.6, 0.5, 1.6   # s
+CONNECT, PING, SILENT = 0.6, 0.7, 1.6   # s
 AGAIN, AGAIN_MOST = 0.1, 0.8        # s between tries of a connect
 MOST_BEHIND = 24 * 1024 * 1024      # bytes that a peer leaves unread before it is left
 
@@ -99,7 +99,9 @@
                     if wire.dialled:
                         wire.transport.abort()
         for peer in peers:
-            if peer not in self.dialling and peer != self.me:
+            # Of two of one kind the lower dials: one connection does for both.
+            if peer not in self.dialling and peer != self.me and not (
+                    peer.startswith(self.role + "@") and self.role != "span" and peer < self.me):
                 self.dialling[peer] = self.loop.create_task(self._keep(peer))
 
     async def _keep(self, peer: str) -> None:
--- a/fennelpoint/system/span/decide.py
+++ b/fennelpoint/system/span/decide.py
@@ -18,6 +18,7 @@
 QUEUE = 1.0         # of a backend's slots, own tries out beyond them
 SECOND = 1.02       # s in which a cold backend's part is counted, with what timers and clocks are off
 WINDOW_LEAST = 2.0  # tries out that a service's window always allows
+NOISE = 0.15        # of a usual latency, that a choice varies by chance: fronts don't see each other's tries
 FRESH = 1.0         # s of an own part that a process has saved up when it begins
 ADVICE = 0.15       # s, at least, after which a refused client is told to come again
 
@@ -41,10 +42,10 @@
 
 @dataclass(slots=True)
 class Places:
-    """Of each backend: how far it is in s, how many it works on at once, until when it is cold, and then how many
-    tries a second are ours; and how many fronts are likely to send to it, too."""
+    """Of each backend: how far it is, in s and in parts of a usual latency; how many it works on at once; until when
+    it is cold, and how many tries a second are ours then.  And how many fronts are likely to send to it, too."""
 
-    far: dict[object, float]
+    far: dict[object, tuple[float, float]]
     slots: dict[object, int]
     cold: dict[object, tuple[float, int]]
     sharers: float = 1.0
@@ -158,7 +159,8 @@
                     continue
                 slow *= 1.5
             crowd = out * max(1.0, 0.5 * self.places.sharers) / slots
-            cost = self.places.far.get(key, 0.0) + typical * slow * (1.0 + crowd * crowd + 0.2 * self.random.random())
+            span, part = self.places.far.get(key, (0.0, 0.0))
+            cost = span + typical * (part + slow * (1.0 + crowd * crowd + NOISE * self.random.random()))
             if cost < least:
                 best, least = b, cost
         if best is not None and now < self.places.cold.get(best.entry.backend, (0.0, 0))[0]:
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -29,7 +29,7 @@
 SWEEP = 0.25        # s between looks at idle connections
 LOOK = 0.05         # s between looks at what an end has left to do
 SETTLE, END = 0.72, 0.93    # of the grace: clients still come; all is answered
-FAR_ZONE, FAR_REGION = 0.004, 0.08      # s that another zone or region costs in the choice
+NEAR, FAR_ZONE, FAR_REGION = (0.0, 0.0), (0.004, 0.1), (0.05, 0.7)    # what a place costs in the choice
 CONNECT = 0.4       # s for a connection to a backend
 OVER_PART, MORE_PART = 0.9, 0.5     # of a quota's overshoot and slack, used
 SLACK_PART = 0.9    # of the budget's slack, used
@@ -181,7 +181,7 @@
             zone = b.told.zone
             region = settings.zones.get(zone)
             far[id] = FAR_REGION if region != settings.region else FAR_ZONE if zone != (
-                settings.availability_zone) else 0.0
+                settings.availability_zone) else NEAR
             slots[id] = max(1, b.told.slots)
             cluster = clusters.get(b.told.service)
             until = b.cold_until
--- a/fennelpoint/system/writ/keeper.py
+++ b/fennelpoint/system/writ/keeper.py
@@ -45,6 +45,7 @@
 
 KEY = "world"
 FOUNDED: Ballot = (0, "founded")
+READ_FEW = 0.12         # s after which all are asked, where a few did not answer
 ROUND, READ, SPREAD = 0.5, 0.35, 0.8     # s for a round's answers, a read's, a content's
 GIVE_UP = 3.5           # s after which a change has no clear answer
 READ_LIFE = 2.0         # s that a read is tried
@@ -172,6 +173,8 @@
     def tick(self, now: float) -> list[Action]:
         """Each few hundredths of a second: what is due."""
         self._run(now)
+        if self.reading is not None and now >= self.reading["more"] and self.reading["asked"] != self.reading["whom"]:
+            self._peek_more()
         if self.reading is not None and now >= self.reading["until"]:
             voting = frozenset(s.name for s in self.reading["answers"].values() if s.ok)
             if holds(voting, self.groups()) and not self.jobs:
@@ -441,15 +444,32 @@
             return
         tokens, self.readers = self.readers, []
         self.numbers += 1
-        whom = frozenset().union(*self.groups())
-        self.reading = {"number": self.numbers, "tokens": tokens, "until": now + READ, "answers": {}, "whom": whom}
-        cell = self.keeper.cells.get(KEY, Cell())
-        self.reading["cell"] = cell
-        for name in sorted(whom - {self.me}):
-            self._send(name, ["peek", self.numbers, cell.accepted])
+        groups = self.groups()
+        whom = frozenset().union(*groups)
+        # The nearest that are a majority are asked, the others only where these don't do: bytes between regions.
+        few = frozenset((self.me,)) & whom
+        for name in sorted(whom - few, key=self._far):
+            if not holds(few, groups):
+                few |= {name}
+        self.reading = {"number": self.numbers, "tokens": tokens, "until": now + READ, "more": now + READ_FEW,
+                        "answers": {}, "whom": whom, "asked": few, "cell": self.keeper.cells.get(KEY, Cell())}
+        for name in sorted(few - {self.me}):
+            self._send(name, ["peek", self.numbers, self.reading["cell"].accepted])
         if self.me in whom:
             self._peeked(self._handle(Peek(KEY)), now)
 
+    def _far(self, ip: str) -> tuple:
+        zones = {**self.world.get("ready", {}), **self.world.get("voters", {})}
+        zone = zones.get(ip, "")
+        return (zone != self.zone, self.regions.get(zone) != self.regions.get(self.zone), ip)
+
+    def _peek_more(self) -> None:
+        """Those asked first did not do."""
+        reading = self.reading
+        for name in sorted(reading["whom"] - reading["asked"] - {self.me}):
+            self._send(name, ["peek", reading["number"], reading["cell"].accepted])
+        reading["asked"] = reading["whom"]
+
     def _on_peeked(self, peer: str, now: float, number: int, name: str, life: int, ok: bool, promised: list,
                    accepted: list, value: object) -> None:
         if self.reading is None or self.reading["number"] != number:
@@ -477,6 +497,8 @@
                 self._send(ROLL, ["newest", token, newest.value])
             return self._begin_read(now)
         voting = frozenset(s.name for s in answers.values() if s.ok)
+        if reading["asked"] != reading["whom"] and reading["asked"] <= answers.keys():
+            return self._peek_more()
         if all(reading["whom"] & g <= answers.keys() for g in groups) and holds(voting, groups):
             self._by_round(now)     # all answered, and no majority holds the same: a round tells
 
