System: newcomers dial, whichever address is the higher

Change: the higher one waits only while it has a connection; LOST and FOUND are logged; a quota that is used up is told a later return. Test red before: test_mesh.

--- a/fennelpoint/system/events.py
+++ b/fennelpoint/system/events.py
@@ -32,6 +32,8 @@
     YIELDS = (301, "info", "{node} reckons parts no more: {reason}", "The duty's lease ended.")
     DRAINS = (310, "info", "{id} drains, told by {by}", "Fronts stop sending to it.")
     GONE = (311, "info", "{id} is gone", "A backend left in order.")
+    LOST = (312, "warning", "{ids} say nothing any more", "Backends that no core machine has heard for some beats.")
+    FOUND = (313, "info", "{ids} speak again", "They are sent to again.")
     LAPSED = (400, "warning", "{node} holds no lease: {reason}", "Nothing is sent on until a core machine answers.")
     APPLIED = (401, "info", "{node} goes by version {version}", "From now on requests go by it.")
     FROM = (402, "info", "{node} hears {peer}", "The core machine that a front goes by.")
--- a/fennelpoint/system/mesh.py
+++ b/fennelpoint/system/mesh.py
@@ -99,15 +99,17 @@
                     if wire.dialled:
                         wire.transport.abort()
         for peer in peers:
-            # Of two of one kind the lower dials: one connection does for both.
-            if peer not in self.dialling and peer != self.me and not (
-                    peer.startswith(self.role + "@") and self.role != "span" and peer < self.me):
+            if peer not in self.dialling and peer != self.me:
                 self.dialling[peer] = self.loop.create_task(self._keep(peer))
 
     async def _keep(self, peer: str) -> None:
         role, _, ip = peer.partition("@")
         pause = AGAIN
         while True:
+            if self.ways.get(peer) and peer < self.me:
+                # Theirs does for both.  Nobody waits to be dialled: a newcomer is not known to the others yet.
+                await asyncio.sleep(0.2)
+                continue
             wire = Wire(self, peer)
             try:
                 async with asyncio.timeout(CONNECT):
--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -177,6 +177,8 @@
             elif now - self.whole_since > 4.0 * self.beat:
                 lost, forgotten = self.backends.sweep(now, self.beat)
                 self._push([b.told.id for b in lost], now)
+                if lost:
+                    self.out.append(Note("LOST", {"ids": ", ".join(b.told.id for b in lost)}))
                 if forgotten:
                     self.out.append(Save([], forgotten))
         return self._done()
@@ -312,6 +314,7 @@
     def _on_heard(self, peer: str, now: float, news: list, whole: list, brief: list) -> None:
         revived = [id for id in news if self.backends.fresh(id, 0.0, now)]
         if revived:
+            self.out.append(Note("FOUND", {"ids": ", ".join(revived)}))
             self._push(revived, now)
         for ip, address, zone, region, life, ready, age in whole:
             self.members.fold(ip, address, zone, region, life, ready, age, now)
--- a/fennelpoint/system/span/decide.py
+++ b/fennelpoint/system/span/decide.py
@@ -20,7 +20,8 @@
 WINDOW_LEAST = 2.0  # tries out that a service's window always allows
 NOISE = 0.15        # of a usual latency, that a choice varies by chance: fronts don't see each other's tries
 FRESH = 1.0         # s of an own part that a process has saved up when it begins
-ADVICE = 0.15       # s, at least, after which a refused client is told to come again
+ADVICE, MOST_ADVICE = 0.15, 0.5     # s after which a refused client is told to come again: least and most
+OVER_ADVICE = 3.0   # s, for a quota that is used up
 
 
 @dataclass(slots=True)
@@ -121,6 +122,11 @@
         self.customers[ask.customer], c.seen, c.plan = c, now, ask.plan
         return c
 
+    def _admit(self, ask: api.Request, now: float) -> None:
+        if self.barred:
+            return self.out.append(api.Refuse(ask.request, MOST_ADVICE))
+        super()._admit(ask, now)
+
     # Waiting
 
     def _hold(self, t: Try, now: float) -> None:
@@ -133,7 +139,9 @@
         plan = self.settings.plans[t.customer.plan]
         self._fill(t.customer, now)
         over = not t.charged and plan.rate > 0.0 and t.customer.level < t.ask.units
-        super()._refuse(t, now, max(wait, ADVICE))
+        # One whose tenant asks for more than its quota has no room for as long as that lasts; for want of a lease, a
+        # part or a backend a client does well to come again soon.
+        super()._refuse(t, now, max(wait, OVER_ADVICE) if over else min(MOST_ADVICE, max(wait, ADVICE)))
         if isinstance(last := self.out[-1], api.Refuse):
             last.over = over
 
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -18,7 +18,7 @@
 from fennelpoint.system.roll.steward import WHOLE
 from fennelpoint.system.roll.view import DRAINING, GONE
 from fennelpoint.system.settings import Settings, address
-from fennelpoint.system.span.decide import Catalogue, Decider, Places, Shares
+from fennelpoint.system.span.decide import OVER_ADVICE, Catalogue, Decider, Places, Shares
 from fennelpoint.system.span.host import SystemBackends, SystemHost
 from fennelpoint.system.span.reader import SystemReader
 from fennelpoint.system.span.tether import Apply, Hold, Lend, Refresh, Send, Tether
@@ -46,7 +46,7 @@
         self.budget = Budget(budget_of(settings.limits.memory_mb))
         given = api.Settings(0, 1, 0, [api.RequestClass("none", 1.0, 1.0, 1.0, api.Effect.UNSAFE)],
                              [api.Plan("public", 1.0)], 8, 0.0, 1.0, 0.0, 1.0, 1.0, 0.0, 0.001, most_units=1.0,
-                             may_cancel=True, may_advise=True, max_advice=0.5, connect_timeout=CONNECT)
+                             may_cancel=True, may_advise=True, max_advice=OVER_ADVICE, connect_timeout=CONNECT)
         self.backends = SystemBackends(loop, room.upstream, CONNECT, 0.0, self.budget)
         self.host = SystemHost(loop, given, self.random.getrandbits(32), self.backends, None, self.budget, Decider)
         self.host.gate = self.allows
--- /dev/null
+++ b/tests/system/test_mesh.py
@@ -0,0 +1,59 @@
+"""Held connections between processes, on loopback."""
+
+import asyncio
+
+from fennelpoint.system.mesh import Mesh, name
+
+IPS = ("127.0.0.1", "127.0.0.2")
+
+
+async def meshes(port: int) -> tuple[list[Mesh], list[tuple]]:
+    loop, heard = asyncio.get_running_loop(), []
+    made = [Mesh(loop, "roll", ip, (port, port + 2), lambda peer, message, ip=ip: heard.append((ip, peer, message)))
+            for ip in IPS]
+    for one in made:
+        await one.start()
+    return made, heard
+
+
+async def until(what) -> None:
+    async with asyncio.timeout(5.0):
+        while not what():
+            await asyncio.sleep(0.01)
+
+
+def test_either_side_may_be_the_one_that_knows_the_other(unused_tcp_port_factory=None) -> None:
+    """Guards newcomers: a machine that nobody knows yet dials, whether its address is the lower or the higher one."""
+    for who in (0, 1):
+        async def play(who: int = who) -> None:
+            (low, high), heard = await meshes(47210 + 10 * who)
+            one, other = (low, high) if who == 0 else (high, low)
+            one.dial({other.me})
+            await until(lambda: one.ways.get(other.me) and other.ways.get(one.me))
+            assert one.send(other.me, ["x", 1]) and other.send(one.me, ["y", b"2"])
+            await until(lambda: len(heard) == 2)
+            assert sorted(heard) == sorted([(other.ip, one.me, ["x", 1]), (one.ip, other.me, ["y", b"2"])])
+            for mesh in (low, high):
+                mesh.close()
+            await asyncio.sleep(0)
+        asyncio.run(play())
+
+
+def test_one_connection_does_for_two_that_dial_each_other_and_a_broken_one_comes_back() -> None:
+    async def play() -> None:
+        (low, high), heard = await meshes(47240)
+        low.dial({high.me})
+        await until(lambda: high.ways.get(low.me))
+        high.dial({low.me})
+        await asyncio.sleep(0.05)
+        assert len(low.ways[high.me]) == len(high.ways[low.me]) == 1
+        for wire in list(low.wires):
+            wire.transport.abort()
+        await until(lambda: not low.ways.get(high.me))
+        assert not low.send(high.me, ["lost"])
+        await until(lambda: low.ways.get(high.me) and high.ways.get(low.me))
+        assert high.send(name("roll", low.ip), ["back"])
+        await until(lambda: (low.ip, high.me, ["back"]) in heard)
+        for mesh in (low, high):
+            mesh.close()
+    asyncio.run(play())
