--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -660,5 +660,7 @@
         self._answer(asking, Reply(200, {
             "node": self.me, "version": self.world.get("version", 0), "revision": self.world.get("rev", 0),
             "voters": self.world.get("voters", {}), "evacuated": self.world.get("evac", []),
+            "reckons": self.duty.holder[1] if self.duty.holder is not None and (
+                now - self.duty.holder_at < SPAN) else "",
             "fronts": [m.pack(now) for m in self.members.known.values()],
             "backends": [b.now(now).pack() for b in self.backends.known.values()]}))
--- a/fennelpoint/system/settings.py
+++ b/fennelpoint/system/settings.py
@@ -179,9 +179,6 @@
 def build(value: dict) -> Settings:
     """The settings of nested fields; raises ValueError that names the field."""
     made = {name: _read(read, value[name], name) for name, read in _FIELDS.items() if name in value}
-    if "rule_bounds" in value and isinstance(value["rule_bounds"], dict):
-        value = {**value, "rule_bounds": {k: v for k, v in value["rule_bounds"].items()
-                                          if v not in ("true", "false")}}
     made |= {name: _section(kind, value[name], read, name) for name, (kind, read) in _SECTIONS.items()
              if name in value}
     for name in ("node_name", "node_role", "ip_address", "availability_zone", "region", "zones", "internal_ports",
