--- a/fennelpoint/standins/explore.py
+++ b/fennelpoint/standins/explore.py
@@ -17,11 +17,13 @@
 from fennelpoint.fleet.register import (
     Answer,
     Cell,
+    Groups,
     Keeper,
     Known,
     Rejoin,
     Round,
     handle,
+    holds,
     majority,
 )
 
@@ -39,6 +41,38 @@
         return held if self.id in held else (*held, self.id)
 
 
+@dataclass(frozen=True)
+class Membered:
+    """A value that names its voters, those before them while they change, and the ids of its changes."""
+
+    members: frozenset[str]
+    before: frozenset[str]
+    ids: tuple[str, ...]
+
+
+def joint(value: Membered | None) -> Groups:
+    """Whose majorities a value needs."""
+    return tuple(g for g in (value.members, value.before) if g) if value is not None else ()
+
+
+@dataclass(frozen=True)
+class Become:
+    """A change that names other voters, or puts its id behind the others."""
+
+    id: str
+    members: frozenset[str] | None = None
+
+    def __call__(self, held: Membered) -> Membered:
+        if self.id in held.ids:
+            return held
+        members = self.members or held.members
+        return Membered(members, held.members if members != held.members else frozenset(), (*held.ids, self.id))
+
+
+def _ids(value: object) -> tuple[str, ...]:
+    return value.ids if isinstance(value, Membered) else value or ()
+
+
 @dataclass(frozen=True)
 class World:
     keepers: tuple[Keeper, ...]
@@ -68,6 +102,21 @@
     return World(made, rounds, frozenset(), frozenset(), frozenset(), (None,) * keepers, losses)
 
 
+def begin_members(keepers: int, founders: int, tries: list[tuple[str, int, int]],
+                  groups_of: Callable[[Membered | None], Groups] = joint) -> World:
+    """`tries` are (proposer, round, voters to be): the last so many keepers are the voters then; 0: as they are.
+
+    Every proposer goes by the founders, and so by an older list once there is a newer one.
+    """
+    names = [f"k{i}" for i in range(keepers)]
+    first = frozenset(names[:founders])
+    cell = Cell((0, "founded"), (0, "founded"), Membered(first, frozenset(), ()))
+    made = tuple(Keeper(n, 1, True, {}, {KEY: cell} if n in first else {}) for n in names)
+    rounds = tuple(Round(KEY, (number, who), Become(who, frozenset(names[-voters:]) if voters else None), keepers,
+                         groups=(first,), groups_of=groups_of) for who, number, voters in tries)
+    return World(made, rounds, frozenset(), frozenset(), frozenset(), (None,) * keepers, 0)
+
+
 def steps(world: World, answer: Callable = handle) -> list[World]:
     """Every world that can follow."""
     out = []
@@ -130,10 +179,16 @@
     Values that were agreed are one chain: each has in it all that was agreed before.  And what a majority of
     those that vote holds alike, which a read takes for the newest, has in it all that is known to be agreed.
     """
-    chain = sorted(world.done, key=len)
+    chain = sorted({_ids(value) for value in world.done}, key=len)
     for shorter, longer in zip(chain, chain[1:], strict=False):
         if longer[:len(shorter)] != shorter:
             return f"{shorter} and {longer} were both agreed"
+    if world.rounds and (groups_of := world.rounds[0].groups_of) is not None:
+        for cell in {k.cells[KEY] for k in world.keepers if k.cells.get(KEY, Cell()).value is not None}:
+            alike = frozenset(k.name for k in world.keepers if k.cells.get(KEY, Cell()).accepted == cell.accepted)
+            if chain and holds(alike, groups_of(cell.value)) and _ids(cell.value)[:len(chain[-1])] != chain[-1]:
+                return f"a read finds {cell.value}, and {chain[-1]} was agreed"
+        return ""
     voting = [k.cells.get(KEY, Cell()) for k in world.keepers if k.votes]
     for group in combinations(voting, majority(len(world.keepers))):
         if len({cell.accepted for cell in group}) == 1 and chain:
--- a/tests/fleet/test_register.py
+++ b/tests/fleet/test_register.py
@@ -23,7 +23,7 @@
     agreed,
     handle,
 )
-from fennelpoint.standins.explore import begin, explore
+from fennelpoint.standins.explore import begin, begin_members, explore, joint
 
 
 @pytest.mark.parametrize("tries, losses, worlds", [
@@ -33,6 +33,26 @@
     assert explore(begin(3, tries, losses), 10_000) == (worlds, "", True)
 
 
+def only_new(value):
+    """Planted: a change of voters asks for a majority of the new ones alone."""
+    return joint(value)[:1]
+
+
+MEMBERS = [(2, 1, [("a", 1, 1), ("b", 2, 0)]), (3, 1, [("a", 1, 2), ("b", 2, 0)]), (3, 2, [("a", 1, 2), ("b", 2, 0)])]
+
+
+@pytest.mark.parametrize("keepers, founders, tries", MEMBERS)
+def test_every_interleaving_of_a_change_of_voters_keeps_one_order(keepers, founders, tries):
+    """One proposer changes the voters, in part or all of them; another one goes by the older list."""
+    count, why, whole = explore(begin_members(keepers, founders, tries), 60_000)
+    assert (why, whole) == ("", True) and count > 100
+
+
+def test_a_change_of_voters_without_those_before_is_found():
+    found = [explore(begin_members(*case, only_new), 60_000)[1] for case in MEMBERS]
+    assert any("both agreed" in why or "a read finds" in why for why in found)
+
+
 def accepts_lower(keeper, message):
     """Planted: an older ballot is accepted."""
     if isinstance(message, Accept) and keeper.votes:
