System: two that reckon parts at once, and fronts that ask the wrong one

Ruled out by replays with logs: leases, configurations, lists. Change: terms fence, reckoners read their own term, whoever renews is the holder.

--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -14,7 +14,7 @@
 from fennelpoint.system import versions
 from fennelpoint.system.mesh import ip_of, name
 from fennelpoint.system.roll.duty import SPAN, Duty
-from fennelpoint.system.roll.steward import Steward
+from fennelpoint.system.roll.steward import HOLD, Steward
 from fennelpoint.system.roll.view import DRAINING, GONE, READY, Backends, Members, Told
 from fennelpoint.system.settings import Bounds
 from fennelpoint.system.web import Asking, Reply
@@ -100,6 +100,7 @@
         self.duty = Duty(me, now if first else now + SPAN)  # a first start: nothing was granted before
         self.steward: Steward | None = None     # while the duty of reckoning parts is ours
         self.leading: tuple[int, float] | None = None   # the call for our term's number, and when to call again
+        self.read_at = -1e9     # when the newest read that ended began
         self.enrolling = 0.0
         self.waiting_in: set[str] = set()       # fronts that wait to be enrolled
         self.rates: dict[str, float] = {}       # of tenants, by the configuration
@@ -405,6 +406,8 @@
                 self._send(peer, ["released", list(self.duty.left)])
             self.duty.released(self.duty.left)
             self.duty.left = None
+        if self.steward is not None and now - self.read_at > HOLD / 3:
+            self._read(now, own=True)
         if self.leading is not None and now >= self.leading[1]:
             self.leading = None
             if self.duty.holds(now):
@@ -443,7 +446,7 @@
     def _begin_term(self, world: dict, now: float) -> None:
         self.leading = None
         if self.duty.holds(now):
-            self.steward = Steward([world["term"], self.me], world["fronts"], now)
+            self.steward, self.read_at = Steward([world["term"], self.me], world["fronts"], now), now
             self.out.append(Note("LEADS", {"node": self.me, "term": world["term"]}))
             self._call_fronts(now)
 
@@ -456,7 +459,8 @@
     def _on_want(self, peer: str, now: float, ip: str, life: int, region: str, stamp: float, seen: list, asked: dict,
                  holds: list | None) -> None:
         """A front's ask for parts, to whoever reckons them, by way of the registry that it asks."""
-        if self.steward is None or not self.duty.holds(now):
+        # Guards parts against a reckoner that another has followed: voters change, so that two may hold the duty.
+        if self.steward is None or not self.duty.holds(now) or now - self.read_at > HOLD:
             return
         if ip not in self.world["fronts"]:
             self.waiting_in.add(ip)
@@ -510,9 +514,9 @@
             self.cold_by = {c["name"]: (float(c.get("cold_start_s") or 0.0), float(c.get("cold_rate_s") or 0.0))
                             for c in value["clusters"]}
 
-    def _read(self, now: float) -> None:
+    def _read(self, now: float, own: bool = False) -> None:
         """One read of the newest at a time; it serves all asks that came before it began."""
-        if self.reading is None and self.asks:
+        if self.reading is None and (self.asks or own):
             self.tokens += 1
             asks, self.asks = self.asks, []
             self.reading = (self.tokens, now + READ_AGAIN, asks)
@@ -526,8 +530,9 @@
             held.then([world])
         if self.reading is None or self.reading[0] != token:
             return
-        asks, self.reading = self.reading[2], None
+        asks, began, self.reading = self.reading[2], self.reading[1] - READ_AGAIN, None
         if world is not None:
+            self.read_at = max(self.read_at, began)
             for front, _, stamp in asks:
                 self._send(front, ["lease", stamp, *self._brief()])
         self._read(now)
@@ -539,6 +544,10 @@
             self.restored[zone] = now
         moved = not self.world or self.core != {**world["ready"], **world["voters"]}
         self.world = world
+        if self.steward is not None and world["term"] > self.steward.term[0]:
+            self.steward = None
+            self.duty.leave()
+            self.out.append(Note("YIELDS", {"node": self.me, "reason": f"term {world['term']} has begun"}))
         if world["digest"] and world["digest"] not in self.contents:
             self._send(self.store, ["want", world["digest"]])
         else:
--- a/fennelpoint/system/roll/duty.py
+++ b/fennelpoint/system/roll/duty.py
@@ -67,7 +67,8 @@
     def claimed(self, term: Term, held: bool, now: float) -> bool | None:
         """Whether a claim is granted, and firmly; none: it is not.  `held`: its sender holds the duty already."""
         self.highest = max(self.highest, term[0])
-        if held and (self.holder is None or term >= self.holder):
+        # One that is not renewed any more makes room: terms of different claimants tell no order in time.
+        if held and (self.holder is None or term >= self.holder or now - self.holder_at > 2.0 * RENEW):
             self.holder, self.holder_at = term, now
         if now < self.until and self.granted != term[1]:
             return None
--- a/fennelpoint/system/roll/steward.py
+++ b/fennelpoint/system/roll/steward.py
@@ -13,6 +13,7 @@
 
 LIFE = 4.2          # s of a grant at the front, from the sending of its ask
 SLACK = 0.4         # s more that it counts here
+HOLD = 1.0          # s since a read of its own term that a reckoner may lend: one before us may, so long after us
 ALIVE = 1.8         # s without an ask after which a front gets no more of what is free
 HALF = 6.0          # s in which what was asked counts half
 WHOLE = 1000        # parts of a quota or of the budget's slack
@@ -73,7 +74,7 @@
 
     def settled(self, now: float) -> bool:
         """Whether nothing is lent that we don't know of."""
-        over = now - self.since > LIFE + SLACK
+        over = now - self.since > HOLD + LIFE + SLACK
         return over or all(f.known for f in self.fronts.values())
 
     def want(self, ip: str, life: int, region: str, seen: list, asked: Mapping[str, float], holds: list | None,
--- a/fennelpoint/system/span/tether.py
+++ b/fennelpoint/system/span/tether.py
@@ -85,6 +85,7 @@
     held: bool = False
     ready: bool = False
     parts: Parts = field(default_factory=Parts)
+    fence: list = field(default_factory=lambda: [0, ""])   # the newest term that we told what we hold
     lent: bool = False      # the parts are in force
     holds: bool = False     # whoever reckons has to be told what we hold
     asked: Callable[[], dict[str, int]] = dict    # what was asked here by tenant, since it was last taken
@@ -270,8 +271,8 @@
 
     def _on_tell(self, peer: str, now: float, term: list) -> None:
         """Who reckons has just begun: it has to hear what we hold, and no word of those before counts any more."""
-        if tuple(term) >= tuple(self.parts.term):
-            self.holds = True
+        if tuple(term) >= max(tuple(self.parts.term), tuple(self.fence)):
+            self.holds, self.fence = True, term
             if not self.parts.number:
                 self.parts.term = term
             if peer == self.helper:
@@ -282,7 +283,8 @@
     def _on_lend(self, peer: str, now: float, stamp: float, term: list, number: int, parts: list | None) -> None:
         """Parts, by an ask of ours at `stamp`; none: those that we go by are ours for longer."""
         ours = (tuple(self.parts.term), self.parts.number)
-        if (tuple(term), number) < ours or parts is None and (tuple(term), number) != ours:
+        said = (tuple(term), number)
+        if tuple(term) < tuple(self.fence) or said < ours or parts is None and said != ours:
             return
         self.holds = False
         if parts is None:
