--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -167,3 +167,20 @@
     assert not one.holds(0.4)
     assert not one.voted(term, 2, "b", True, voters, 0.5) and one.voted(term, 2, "c", True, voters, 0.5)
     assert one.holds(0.3 + SPAN - 0.2) and not one.holds(0.3 + SPAN)
+
+
+def test_who_renews_is_the_holder_whatever_its_number() -> None:
+    duty = Duty("m", 0.0)
+    duty.claimed((2, "b"), True, 0.0)
+    duty.claimed((1, "a"), True, 0.1)
+    assert duty.holder == (2, "b")      # it was heard just now
+    duty.claimed((1, "a"), True, 0.9)
+    assert duty.holder == (1, "a")
+
+
+def test_a_front_that_told_a_newer_term_takes_no_word_of_those_before() -> None:
+    front = Tether("f", "za", "ra", {"za": "ra"}, ["a"], {}, 0.0)
+    front._on_lend("roll@a", 0.0, 0.0, [1, "a"], 1, [{"t": 100}, {}, 0])
+    front._on_tell("roll@b", 0.1, [2, "b"])
+    front._on_lend("roll@a", 0.2, 0.1, [1, "a"], 2, [{"t": 900}, {}, 0])
+    assert front.parts.quotas == {"t": 100} and front.holds
