--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -588,7 +588,7 @@
         self._pump(now)
 
     def _again(self, t: Try, o: api.Outcome, now: float) -> bool:
-        """Whether it may be sent once more, as effect and a budget against retry storms allow; takes of that."""
+        """Whether it may be sent once more, by effect and a budget against retry storms; takes of that."""
         again = t.ran_at is not None
         barred = o.status is api.Status.TIMEOUT or self.retries < 1.0 or not self._allowed(t, now)
         if t.attempts >= (t.ask.attempts or self.settings.max_attempts) or again and barred:
