One room for leaving in order; what nothing uses is gone

Change: net/leaving.py serves both, system/actions.py all three, the rest is removed; a test takes free ports.

--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -20,11 +20,12 @@
 from fennelpoint.bodies import Budget, budget_of
 from fennelpoint.descriptors import LEAST, plan
 from fennelpoint.faults import FaultyFile
-from fennelpoint.lifecycle import Event, LifeCycle, Step
+from fennelpoint.lifecycle import Event, LifeCycle
 from fennelpoint.net.backends import Backends
 from fennelpoint.net.counter import Counter
 from fennelpoint.net.discovery import Address, Discovery, Listing, parse_address, parse_list
 from fennelpoint.net.host import Host
+from fennelpoint.net.leaving import Leaving
 from fennelpoint.net.server import Server
 from fennelpoint.notice import log
 from fennelpoint.parts import make_parts
@@ -37,7 +38,6 @@
 
 SWEEP = 0.25            # s between looks at idle connections
 LIST_WAIT = 1.0         # s for discovery to answer before the list known from before will do
-LOOK = 0.05             # s between looks at what a drain or an end has left to do
 SOCKETS, MEMORY_MB = 1024, 192  # descriptors and memory, where the configuration tells no limit
 GC_THRESHOLDS = (10_000, 20, 50)  # nearly all is freed by count: cycles are looked for more rarely
 
@@ -159,8 +159,9 @@
         self.discovery = Discovery(loop, config.discovery, settings, self.follow)
         self.listed = False     # there is a list to go by
         self.coming: Discovery | None = None    # a new discovery that has not told its list yet
-        self.life, self.looking = LifeCycle(time.monotonic()), False
+        self.life = LifeCycle(time.monotonic())
         self.server = Server(loop, self.host, room, self.life)
+        self.look = Leaving(loop, self.life, self.server, self.host, self._end).look
         self.parts = make_parts(self)   # those that are on, by name
         self.host.watchers = [part.follow for part in self.parts.values()]
 
@@ -257,26 +258,6 @@
         self.life.handle(Event.RELIEVED if relieved else Event.TERM, time.monotonic())
         self.look()
 
-    def look(self) -> None:
-        """Carry out what the life-cycle finds due, and come again while it isn't simply serving."""
-        if not self.looking:
-            self._look()
-
-    def _look(self) -> None:
-        steps = self.life.look(time.monotonic(), len(self.server.connections), self.host.waiting)
-        if Step.STOP_ACCEPTING in steps:
-            self.server.stop_listening()
-        if Step.CLOSE_IDLE in steps:
-            self.server.close_idle()
-        if Step.FAIL_OPEN in steps:
-            self.host.fail_all()
-        if Step.EXIT in steps:
-            # One turn of the loop more, so that the last answers are written.
-            self.loop.call_later(LOOK, self._end)
-        self.looking = not self.life.keeps and Step.EXIT not in steps
-        if self.looking:
-            self.loop.call_later(LOOK, self._look)
-
     def _end(self) -> None:
         for part in self.parts.values():
             part.finish()
--- /dev/null
+++ b/fennelpoint/net/leaving.py
@@ -0,0 +1,42 @@
+"""Carries out what the life-cycle finds due, for an ingress by itself and for a front of the whole system."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from fennelpoint.lifecycle import LifeCycle, Step
+from fennelpoint.net.host import Host
+from fennelpoint.net.server import Server
+
+LOOK = 0.05     # s between looks at what a drain or an end has left to do
+
+
+class Leaving:
+    """`look` is called after each move of the life-cycle; `ended` once all is answered and written."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, life: LifeCycle, server: Server, host: Host,
+                 ended: Callable[[], None]) -> None:
+        self.loop, self.life, self.server, self.host, self.ended = loop, life, server, host, ended
+        self.looking = False
+
+    def look(self) -> None:
+        """Carry out what is due, and come again while it isn't simply serving."""
+        if not self.looking:
+            self._look()
+
+    def _look(self) -> None:
+        steps = self.life.look(time.monotonic(), len(self.server.connections), self.host.waiting)
+        if Step.STOP_ACCEPTING in steps:
+            self.server.stop_listening()
+        if Step.CLOSE_IDLE in steps:
+            self.server.close_idle()
+        if Step.FAIL_OPEN in steps:
+            self.host.fail_all()
+        if Step.EXIT in steps:
+            # One turn of the loop more, so that the last answers are written.
+            self.loop.call_later(LOOK, self.ended)
+        self.looking = not self.life.keeps and Step.EXIT not in steps
+        if self.looking:
+            self.loop.call_later(LOOK, self._look)
--- a/fennelpoint/system/events.py
+++ b/fennelpoint/system/events.py
@@ -36,7 +36,6 @@
     FOUND = (313, "info", "{ids} speak again", "They are sent to again.")
     LAPSED = (400, "warning", "{node} holds no lease: {reason}", "Nothing is sent on until a core machine answers.")
     APPLIED = (401, "info", "{node} goes by version {version}", "From now on requests go by it.")
-    FROM = (402, "info", "{node} hears {peer}", "The core machine that a front goes by.")
 
 
 def say(event: Event, **fields: object) -> None:
--- a/fennelpoint/system/mesh.py
+++ b/fennelpoint/system/mesh.py
@@ -152,9 +152,6 @@
         ways[0].write(message)
         return True
 
-    def reached(self, role: str) -> list[str]:
-        return [peer for peer in self.ways if peer.startswith(role + "@")]
-
     def _ping(self) -> None:
         self.loop.call_later(PING, self._ping)
         now = time.monotonic()
--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -12,6 +12,7 @@
 from result import Err, Result
 
 from fennelpoint.system import versions
+from fennelpoint.system.actions import Note, Send
 from fennelpoint.system.mesh import ip_of, name
 from fennelpoint.system.roll.duty import SPAN, Duty
 from fennelpoint.system.roll.steward import HOLD, Steward
@@ -30,12 +31,6 @@
 READ_AGAIN = 0.7    # s after which a read that got no answer is asked for anew
 
 
-@dataclass(slots=True)
-class Send:
-    to: str
-    message: list
-
-
 @dataclass(slots=True)
 class Save:
     """Backends as they are now, and ids that are no more: on disk before what comes after it goes out."""
@@ -50,12 +45,6 @@
     reply: Reply
 
 
-@dataclass(slots=True)
-class Note:
-    event: str
-    fields: dict
-
-
 @dataclass(slots=True)
 class Held:
     """A call that waits: for a majority of core machines, or for the store."""
@@ -225,7 +214,6 @@
                         max(0.0, float(status.get("cold_remaining_s") or 0.0)))
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             return self._answer(asking, fault(400, f"the beat can't be read: {error!r}"))
-        known = self.backends.known.get(told.id)
         changed = self.backends.fold(told, now)
         self.news.add(told.id)
         body = {}
@@ -239,8 +227,6 @@
             return self._spread(asking, [told.id], now, Reply(200, body))
         if changed:
             self._share([told.id], now, 0)
-        if known is None and self.world and not self.world["voters"]:
-            return self._answer(asking, fault(503, "not yet"))
         self._answer(asking, Reply(200, body))
 
     def _call_leave(self, asking: Asking, now: float) -> None:
--- a/fennelpoint/system/span/decide.py
+++ b/fennelpoint/system/span/decide.py
@@ -34,11 +34,10 @@
 
 @dataclass(slots=True)
 class Shares:
-    """This front's part of each tenant's quota, by number; none told: `floor`."""
+    """This front's part of each tenant's quota, by number; one that is not told is none."""
 
     shares: dict[int, float]
-    floor: float
-    slack: float = 0.0      # further tries that this front may send in a budget's window, beside those by its ratio
+    slack: float            # further tries that this front may send in a budget's window, beside those by its ratio
 
 
 @dataclass(slots=True)
@@ -71,7 +70,7 @@
 
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
-        self.shares, self.floor, self.lent = {}, 0.0, False
+        self.shares, self.lent = {}, False
         self.places = Places({}, {}, {})
         self.sent_cold: dict[object, deque] = {}    # when tries were sent to a cold backend
         self.budgets: dict[str, Budget] = {}
@@ -96,7 +95,7 @@
         """What is taken back is gone at once; what is given fills with time."""
         fresh = bool(event.shares) and not self.lent
         self.lent = self.lent or fresh
-        self.shares, self.floor, self.slack = event.shares, event.floor, event.slack
+        self.shares, self.slack = event.shares, event.slack
         for c in self.customers.values():
             if fresh:   # nobody else was lent our part while we started; a second of it at most
                 c.filled = max(self.born, now - FRESH)
@@ -110,7 +109,7 @@
         self.sent_cold = {key: sent for key, sent in self.sent_cold.items() if key in event.slots}
 
     def _share_of(self, key: int) -> float:
-        return self.shares.get(key, self.floor)
+        return self.shares.get(key, 0.0)
 
     def _customer(self, ask: api.Request, now: float) -> Customer:
         if (c := self.customers.pop(ask.customer, None)) is None:
--- a/fennelpoint/system/span/host.py
+++ b/fennelpoint/system/span/host.py
@@ -57,6 +57,3 @@
             if ticket.last is not None:
                 return self._finish(ticket, lambda client: client.served(ticket.last))
             self._finish(ticket, lambda client: client.failed())
-
-    def _expire(self, ticket) -> None:
-        super()._expire(ticket)
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -11,7 +11,8 @@
 from fennelpoint.bodies import Budget, budget_of
 from fennelpoint.descriptors import plan
 from fennelpoint.lifecycle import Event as Life
-from fennelpoint.lifecycle import LifeCycle, Step
+from fennelpoint.lifecycle import LifeCycle
+from fennelpoint.net.leaving import Leaving
 from fennelpoint.net.server import Server
 from fennelpoint.system.events import Event, say
 from fennelpoint.system.mesh import Mesh
@@ -27,7 +28,6 @@
 
 TICK = 0.05         # s
 SWEEP = 0.25        # s between looks at idle connections
-LOOK = 0.05         # s between looks at what an end has left to do
 SETTLE, END = 0.72, 0.93    # of the grace: clients still come; all is answered
 NEAR, FAR_ZONE, FAR_REGION = (0.0, 0.0), (0.004, 0.1), (0.05, 0.7)    # what a place costs in the choice
 CONNECT = 0.4       # s for a connection to a backend
@@ -63,7 +63,8 @@
         self.web = Web(loop, self.call)
         self.evac: frozenset = frozenset()
         self.restored: dict[str, float] = {}    # zones that were taken back, and until when they count as cold
-        self.stopped, self.looking = loop.create_future(), False
+        self.stopped = loop.create_future()
+        self.look = Leaving(loop, self.life, self.server, self.host, self._end).look
 
     def allows(self) -> bool:
         return self.tether.allows(time.monotonic())
@@ -197,7 +198,7 @@
         parts, bounds = self.tether.parts, self.settings.rule_bounds
         plans, slack = self.reader.plans, SLACK_PART * bounds.budget_slack * parts.slack / WHOLE
         shares = {plans[tenant]: part / WHOLE for tenant, part in parts.quotas.items() if tenant in plans}
-        self.host.post(Shares(shares, 0.0, slack))
+        self.host.post(Shares(shares, slack))
         self._place(time.monotonic())
 
     # Start and stop
@@ -218,24 +219,6 @@
             self.carry_out(self.tether.say(time.monotonic()))
             self.look()
 
-    def look(self) -> None:
-        if not self.looking:
-            self._look()
-
-    def _look(self) -> None:
-        steps = self.life.look(time.monotonic(), len(self.server.connections), self.host.waiting)
-        if Step.STOP_ACCEPTING in steps:
-            self.server.stop_listening()
-        if Step.CLOSE_IDLE in steps:
-            self.server.close_idle()
-        if Step.FAIL_OPEN in steps:
-            self.host.fail_all()
-        if Step.EXIT in steps:
-            self.loop.call_later(LOOK, self._end)
-        self.looking = not self.life.keeps and Step.EXIT not in steps
-        if self.looking:
-            self.loop.call_later(LOOK, self._look)
-
     def _end(self) -> None:
         if not self.stopped.done():
             self.stopped.set_result(None)
--- a/fennelpoint/system/span/tether.py
+++ b/fennelpoint/system/span/tether.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from fennelpoint.system.actions import Send
 from fennelpoint.system.mesh import ip_of, name
 from fennelpoint.system.roll.view import Backends, Told
 
@@ -19,12 +20,6 @@
 AGAIN = 0.6         # s after which a content is asked for anew
 
 
-@dataclass(slots=True)
-class Send:
-    to: str
-    message: list
-
-
 @dataclass(slots=True)
 class Apply:
     """Go by this configuration from now on."""
--- a/fennelpoint/system/writ/keeper.py
+++ b/fennelpoint/system/writ/keeper.py
@@ -30,6 +30,7 @@
     handle,
     holds,
 )
+from fennelpoint.system.actions import Note, Send
 from fennelpoint.system.writ.world import (
     Change,
     configure,
@@ -54,12 +55,6 @@
 STAND_BY = 0.5          # s between tries to become a voter
 
 
-@dataclass(slots=True)
-class Send:
-    to: str
-    message: list
-
-
 @dataclass(slots=True)
 class Save:
     """On disk before anything after it goes out; `whole`: all of it, else what changed."""
@@ -75,14 +70,6 @@
     data: bytes
 
 
-@dataclass(slots=True)
-class Note:
-    """Something for the log: the event's name and its fields."""
-
-    event: str
-    fields: dict
-
-
 Action = Send | Save | SaveContent | Note
 ROLL = "roll"
 
@@ -101,8 +88,7 @@
     holders: frozenset[str] = frozenset()   # have the content
     asked: frozenset[str] = frozenset()
     not_before: float = 0.0
-    rose: bool = False      # its answer is a read for these tokens
-    tokens: list = field(default_factory=list)
+    tokens: list = field(default_factory=list)  # of reads that its answer is for
 
 
 class Store:
@@ -156,10 +142,6 @@
                 self.peers.update(world[part])
         self.peers.discard(self.me)
 
-    @property
-    def settled(self) -> bool:
-        return self.rejoin is None
-
     # Events
 
     def heard(self, peer: str, message: list, now: float) -> list[Action]:
@@ -421,7 +403,7 @@
 
     def _learn(self, ballot: Ballot, world: dict) -> None:
         if not self.world or world["rev"] > self.world["rev"]:
-            if self.world and world["voters"] != self.world["voters"]:
+            if self.world and world["voters"].keys() != self.world["voters"].keys():
                 self.out.append(Note("VOTERS", {"voters": ", ".join(sorted(world["voters"]))}))
             if not self.world or world["version"] != self.world["version"]:
                 self.out.append(Note("DECIDED", {"version": world["version"], "rev": world["rev"]}))
--- a/tests/system/test_mesh.py
+++ b/tests/system/test_mesh.py
@@ -2,13 +2,14 @@
 
 import asyncio
 
+from fennelpoint.standins.process import free_port
 from fennelpoint.system.mesh import Mesh, name
 
 IPS = ("127.0.0.1", "127.0.0.2")
 
 
-async def meshes(port: int) -> tuple[list[Mesh], list[tuple]]:
-    loop, heard = asyncio.get_running_loop(), []
+async def meshes() -> tuple[list[Mesh], list[tuple]]:
+    loop, heard, port = asyncio.get_running_loop(), [], free_port()
     made = [Mesh(loop, "roll", ip, (port, port + 2), lambda peer, message, ip=ip: heard.append((ip, peer, message)))
             for ip in IPS]
     for one in made:
@@ -22,11 +23,11 @@
             await asyncio.sleep(0.01)
 
 
-def test_either_side_may_be_the_one_that_knows_the_other(unused_tcp_port_factory=None) -> None:
+def test_either_side_may_be_the_one_that_knows_the_other() -> None:
     """Guards newcomers: a machine that nobody knows yet dials, whether its address is the lower or the higher one."""
     for who in (0, 1):
         async def play(who: int = who) -> None:
-            (low, high), heard = await meshes(47210 + 10 * who)
+            (low, high), heard = await meshes()
             one, other = (low, high) if who == 0 else (high, low)
             one.dial({other.me})
             await until(lambda: one.ways.get(other.me) and other.ways.get(one.me))
@@ -41,7 +42,7 @@
 
 def test_one_connection_does_for_two_that_dial_each_other_and_a_broken_one_comes_back() -> None:
     async def play() -> None:
-        (low, high), heard = await meshes(47240)
+        (low, high), heard = await meshes()
         low.dial({high.me})
         await until(lambda: high.ways.get(low.me))
         high.dial({low.me})
--- a/tests/system/test_scenarios.py
+++ b/tests/system/test_scenarios.py
@@ -13,4 +13,4 @@
 @pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_scenario(path: Path, seed: int) -> None:
-    play(SITE + "\n" * 0 + path.read_text(), seed)
+    play(SITE + path.read_text(), seed)
