--- a/fennelpoint/fleet/register.py
+++ b/fennelpoint/fleet/register.py
@@ -162,10 +162,8 @@
     groups: Groups = ()         # where members change: who must be asked by what is known; none: `keepers` of them
     groups_of: Callable[[object], Groups] | None = None     # whose majorities a value needs
 
-    def _enough(self, names: frozenset[str], groups: Groups | None = None) -> bool:
-        if self.groups_of is None:
-            return len(names) >= majority(self.keepers)
-        return holds(names, self.groups if groups is None else groups)
+    def _enough(self, names: frozenset[str]) -> bool:
+        return len(names) >= majority(self.keepers) if self.groups_of is None else holds(names, self.groups)
 
     @property
     def whom(self) -> frozenset[str]:
--- a/fennelpoint/system/roll/steward.py
+++ b/fennelpoint/system/roll/steward.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-LIFE = 4.2          # s of a grant at the front, from the sending of its ask
+LIFE = 4.2          # s of a lease and of a grant at the front, from the sending of its ask
 SLACK = 0.4         # s more that it counts here
 HOLD = 1.0          # s since a read of its own term that a reckoner may lend: one before us may, so long after us
 ALIVE = 1.8         # s without an ask after which a front gets no more of what is free
--- a/fennelpoint/system/span/tether.py
+++ b/fennelpoint/system/span/tether.py
@@ -11,9 +11,9 @@
 
 from fennelpoint.system.actions import Send
 from fennelpoint.system.mesh import ip_of, name
+from fennelpoint.system.roll.steward import LIFE
 from fennelpoint.system.roll.view import Backends, Told
 
-LIFE = 4.2          # s of a lease, from the sending of the ask
 RENEW = 0.5         # s between asks
 PATIENCE = 0.4      # s without an answer after which another core machine is asked, too
 CUT, HELPERS = 0.9, 2   # s without an answer after which other fronts are asked to pass words on; how many
