--- a/tests/fleet/test_register.py
+++ b/tests/fleet/test_register.py
@@ -78,7 +78,13 @@
     return handle(keeper, message)
 
 
+def votes_at_once(keeper, message):
+    """Planted: a keeper that lost its file votes by what it has forgotten."""
+    return handle(replace(keeper, life=1, votes=True) if not keeper.life else keeper, message)
+
+
 @pytest.mark.parametrize("broken, tries, losses", [
+    (votes_at_once, [("a", 1), ("b", 2)], 1),
     (accepts_lower, [("a", 1), ("b", 2)], 0), (promises_lower, [("a", 2), ("b", 1)], 0),
     (trusts_old_lives, [("a", 1)], 1)])
 def test_the_checker_finds_planted_faults(broken, tries, losses):
