Parts of the ingress know no ingress, and the host no cells: imports untied

Need: eleven files round parts.py, __main__.py and net/ imported each other, for types at least. Change: Part and what it may use of whoever carries it (Carrier) stand in part.py; the host names what confines customers by a protocol of three calls.

--- a/fennelpoint/cells/service.py
+++ b/fennelpoint/cells/service.py
@@ -12,7 +12,7 @@
 from fennelpoint.cells.poison import Poison
 from fennelpoint.faults import FaultyFile
 from fennelpoint.notice import log
-from fennelpoint.parts import Part
+from fennelpoint.part import Part
 
 
 class CellsService(Part):
--- a/fennelpoint/fleet/part.py
+++ b/fennelpoint/fleet/part.py
@@ -29,10 +29,9 @@
 from fennelpoint.fleet.wire import CallFailed, Line, Service
 from fennelpoint.lifecycle import Event
 from fennelpoint.operator import FleetSection, address_of
-from fennelpoint.parts import Part
+from fennelpoint.part import Carrier, Part
 
 if TYPE_CHECKING:
-    from fennelpoint.__main__ import Ingress
     from fennelpoint.routes.table import RouteTable
 
 FIRST = 0.3         # s between calls until a licence's life is known; then a quarter of that
@@ -62,7 +61,7 @@
 class FleetPart(Part):
     """One process of an ingress in its fleet."""
 
-    def __init__(self, ingress: Ingress, section: FleetSection) -> None:
+    def __init__(self, ingress: Carrier, section: FleetSection) -> None:
         logs.configure()
         config, settings = ingress.config, ingress.config.settings
         self.ingress, self.section, self.name, self.loop = ingress, section, config.name, ingress.loop
--- a/fennelpoint/net/door.py
+++ b/fennelpoint/net/door.py
@@ -11,7 +11,7 @@
 
 from fennelpoint.lifecycle import Event, IllegalMove, LifeCycle
 from fennelpoint.notice import log
-from fennelpoint.parts import Part
+from fennelpoint.part import Part
 
 MOST_LINE = 128     # bytes
 PATIENCE = 4.5      # s for a caller to say its line
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from fennelpoint import interface as api
 from fennelpoint.bodies import Budget, Upload
@@ -22,8 +22,13 @@
 from fennelpoint.net.driver import Clock, Driver
 from fennelpoint.notice import complain, log
 
-if TYPE_CHECKING:   # loaded only where the operator file names a plan
-    from fennelpoint.cells.service import CellsService
+
+class Confining(Protocol):
+    """What confines customers to cells, where the operator file names a plan."""
+
+    def cell_of(self, customer: int) -> str: ...
+    def sent(self, customer: int, node: str) -> None: ...
+    def ended(self, customer: int, node: str, status: api.Status) -> None: ...
 
 
 class Source(Protocol):
@@ -101,7 +106,7 @@
                  decider: type[Controller] | None = None) -> None:
         self.loop, self.settings, self.backends, self.budget = loop, settings, backends, budget
         self.clock = Clock()
-        self.cells: CellsService | None = None  # where the operator file names a plan
+        self.cells: Confining | None = None  # where the operator file names a plan
         self.gate: Callable[[], bool] | None = None     # whether anything may be sent; asked before each send
         self.watchers: list[Callable[[api.Roster], None]] = []  # hear of a list before the module does
         driver = Driver(loop, self.clock, counter, self.post)
--- a/fennelpoint/net/routed.py
+++ b/fennelpoint/net/routed.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from functools import lru_cache
-from typing import TYPE_CHECKING
 
 from fennelpoint import interface as api
 from fennelpoint.bodies import Upload
@@ -16,14 +15,11 @@
 from fennelpoint.net.server import BadRequest, Reader, Reply, framing
 from fennelpoint.notice import log
 from fennelpoint.operator import Routes, read_operator
-from fennelpoint.parts import Part
+from fennelpoint.part import Carrier, Part
 from fennelpoint.routes.follower import Follower
 from fennelpoint.routes.paths import PathError, split_target
 from fennelpoint.routes.table import RouteTable, ValueFault
 
-if TYPE_CHECKING:
-    from fennelpoint.__main__ import Ingress
-
 MOST_KEY = 256      # bytes of an idempotency key
 
 
@@ -95,7 +91,7 @@
 class RoutesPart(Part):
     """Requests read by a description that is followed; turning it on or off takes a restart."""
 
-    def __init__(self, ingress: Ingress, routes: Routes) -> None:
+    def __init__(self, ingress: Carrier, routes: Routes) -> None:
         config, self.ingress, self.routes = ingress.config, ingress, routes
         reader = ingress.server.reader = RoutedReader(config.settings, config.read.table())
         self.follower = Follower(ingress.loop, reader, config.settings, routes, config.read.files)
--- a/fennelpoint/net/twins.py
+++ b/fennelpoint/net/twins.py
@@ -3,32 +3,28 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
 
 from fennelpoint import interface as api
 from fennelpoint.descriptors import plan
 from fennelpoint.handover import attach, tell, tell_rest
 from fennelpoint.net.relay import Relay
 from fennelpoint.notice import log
-from fennelpoint.parts import Part
+from fennelpoint.part import Carrier, Part
 from fennelpoint.succession import Give, Serve, Share, Succession, Take
 
-if TYPE_CHECKING:
-    from fennelpoint.__main__ import Ingress
-
 TURN = 0.05     # s between looks at a predecessor, until we serve; then each sweep
 
 
 class TwinsPart(Part):
     """Looks who lives, shares out, tells and takes; holds clients back until it may serve."""
 
-    def __init__(self, ingress: Ingress, relay: Relay) -> None:
+    def __init__(self, ingress: Carrier, relay: Relay) -> None:
         self.ingress, self.relay, self.holds = ingress, relay, True
         self.turn = Succession(relay.generation, relay.living(), time.monotonic())
         attach(ingress.host.controller)
 
     @classmethod
-    def made(cls, ingress: Ingress) -> TwinsPart | None:
+    def made(cls, ingress: Carrier) -> TwinsPart | None:
         """None, and a line that says why, where the folder that they share can't be used."""
         config = ingress.config
         try:
--- a/fennelpoint/parts.py
+++ b/fennelpoint/parts.py
@@ -7,40 +7,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
-from fennelpoint import interface as api
+from fennelpoint.part import Carrier, Part
 
-if TYPE_CHECKING:
-    from fennelpoint.__main__ import Ingress
 
-
-class Part:
-    """What the ingress calls; a part overrides what it needs."""
-
-    holds = False       # clients are not to come yet
-    relieved = False    # another process serves at our address
-
-    async def start(self) -> None:
-        """After the ingress's own listener, before discovery."""
-
-    def follow(self, roster: api.Roster) -> None:
-        """A list of backends or its changes, before the module hears of it."""
-
-    def reload(self) -> None:
-        """SIGHUP; what can't be used changes nothing."""
-
-    def sweep(self) -> None:
-        """Each quarter of a second."""
-
-    def finish(self) -> None:
-        """All is answered; the process ends next."""
-
-    def close(self) -> None:
-        """Leave every socket."""
-
-
-def _door(ingress: Ingress) -> Part | None:
+def _door(ingress: Carrier) -> Part | None:
     """The operators' door."""
     config = ingress.config
     if config.door is None:
@@ -55,7 +26,7 @@
                 ingress.look, stand)
 
 
-def _cells(ingress: Ingress) -> Part | None:
+def _cells(ingress: Carrier) -> Part | None:
     """Agencies confined to cells, where the operator file names a plan."""
     if ingress.config.cells is None:
         return None
@@ -66,7 +37,7 @@
     return made
 
 
-def _routes(ingress: Ingress) -> Part | None:
+def _routes(ingress: Carrier) -> Part | None:
     """Requests read by a description, where the operator file names one."""
     config = ingress.config
     if config.operator is None or (routes := config.operator.routes) is None:
@@ -76,7 +47,7 @@
     return RoutesPart(ingress, routes)
 
 
-def _announce(ingress: Ingress) -> Part | None:
+def _announce(ingress: Carrier) -> Part | None:
     """The word to the announcer beside it."""
     if ingress.config.operator is None or (announce := ingress.config.operator.announce) is None:
         return None
@@ -86,7 +57,7 @@
     return Beat(ingress.loop, parse_address(announce.beat_listen, "beat_listen"), ingress.word)
 
 
-def _twins(ingress: Ingress) -> Part | None:
+def _twins(ingress: Carrier) -> Part | None:
     """The other processes of this ingress, where the platform holds its socket."""
     if ingress.config.inherited is None or not ingress.config.folder:
         return None
@@ -95,7 +66,7 @@
     return TwinsPart.made(ingress)
 
 
-def _fleet(ingress: Ingress) -> Part | None:
+def _fleet(ingress: Carrier) -> Part | None:
     """A licence for the fleet's version, where the operator file has a fleet section."""
     if ingress.config.operator is None or (section := ingress.config.operator.fleet) is None:
         return None
@@ -104,12 +75,12 @@
     return FleetPart(ingress, section)
 
 
-MAKERS: dict[str, Callable[[Ingress], Part | None]] = {
+MAKERS: dict[str, Callable[[Carrier], Part | None]] = {
     "door": _door, "cells": _cells, "routes": _routes, "announce": _announce, "twins": _twins,
     "fleet": _fleet}
 
 
-def make_parts(ingress: Ingress) -> dict[str, Part]:
+def make_parts(ingress: Carrier) -> dict[str, Part]:
     """The parts that are on, by name, in the order in which they start."""
     made = {name: make(ingress) for name, make in MAKERS.items()}
     return {name: part for name, part in made.items() if part is not None}
