--- a/fennelpoint/system/calls.py
+++ b/fennelpoint/system/calls.py
@@ -32,6 +32,9 @@
     Call("evacuate", "POST", "/api/evacuation/{}", "control_plane"),
     Call("restore", "DELETE", "/api/evacuation/{}", "control_plane"),
     Call("status", "GET", "/api/status", "control_plane"),
+    Call("parts", "GET", "/api/parts", "control_plane"),
+    Call("snapshot", "GET", "/api/snapshot", "control_plane"),
+    Call("revive", "PUT", "/api/snapshot", "control_plane", 16 * 1024 * 1024),
 )
 _PATTERNS = [(call, re.compile(re.escape(call.path).replace(r"\{\}", "([^/]+)"))) for call in TABLE]
 
--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -7,23 +7,21 @@
 
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
-
-from result import Err, Result
 
 from fennelpoint.system import versions
 from fennelpoint.system.actions import Note, Send
 from fennelpoint.system.mesh import ip_of, name
 from fennelpoint.system.roll.duty import SPAN, Duty
+from fennelpoint.system.roll.office import Office
 from fennelpoint.system.roll.steward import HOLD, Steward
 from fennelpoint.system.roll.view import DRAINING, GONE, READY, Backends, Members, Told
+from fennelpoint.system.roll.waits import Answer, Held, Save, fault
 from fennelpoint.system.settings import Bounds
 from fennelpoint.system.web import Asking, Reply
 
 FRESH = 1.8         # s without an ask after which a front is left out of the directory
 TTL = 2.0           # s that clients may hold an answer
 WAIT_DRAIN = 0.9    # s for a majority to hold a drain
-WAIT_CHANGE = 3.0   # s for the store
 COLD_TILL_HEARD = 1.6   # beats that a backend off the disk counts as cold at most
 LEAD_AGAIN = 0.6    # s for the store to number a term
 GOSSIP = 0.5        # s between words on who was heard
@@ -31,41 +29,6 @@
 READ_AGAIN = 0.7    # s after which a read that got no answer is asked for anew
 
 
-@dataclass(slots=True)
-class Save:
-    """Backends as they are now, and ids that are no more: on disk before what comes after it goes out."""
-
-    rows: list[list]
-    forgotten: list[str]
-
-
-@dataclass(slots=True)
-class Answer:
-    asking: Asking
-    reply: Reply
-
-
-@dataclass(slots=True)
-class Held:
-    """A call that waits: for a majority of core machines, or for the store."""
-
-    asking: Asking
-    until: float
-    holders: set[str] = field(default_factory=set)
-    then: Callable[[list], None] | None = None
-
-
-def fault(status: int, text: str) -> Reply:
-    return Reply(status, {"error_message": text}, headers=[("Retry-After", "0.2")] if status == 503 else [])
-
-
-def _check(value: dict) -> Result:
-    """By pydantic, which is loaded with the first change: a registry that restarts is up in half the time."""
-    from fennelpoint.system.forms import check
-
-    return check(value)
-
-
 class Desk:
     """One core machine's part of the registry."""
 
@@ -103,6 +66,7 @@
         self.links: set[str] = set()            # core machines whose registry is connected
         self.whole_since: float | None = None   # since when these are a majority with us
         self.out: list = []
+        self.office = Office(self)
 
     def restore(self, rows: list[list], now: float) -> None:
         """What was on disk when this process started."""
@@ -119,7 +83,8 @@
         return self._done()
 
     def call(self, asking: Asking, now: float) -> list:
-        getattr(self, f"_call_{asking.call.name}")(asking, now)
+        place = self if asking.call.name in ("beat", "leave", "resolve") else self.office
+        getattr(place, f"_call_{asking.call.name}")(asking, now)
         return self._done()
 
     def linked(self, peer: str, up: bool, now: float) -> list:
@@ -130,7 +95,7 @@
             self.told_members.clear()
             items = [b.now(now).pack() for b in self.backends.known.values()]
             if items:
-                self._send(peer, ["backends", 0, items])
+                self.send(peer, ["backends", 0, items])
         elif peer.startswith("span@"):
             if not up:
                 passed = [f for f, helper in self.helpers.items() if helper == peer]
@@ -147,7 +112,7 @@
         for token, held in list(self.calls.items()):
             if now >= held.until or held.asking.gone:
                 del self.calls[token]
-                self._answer(held.asking, fault(503, "no majority answers"))
+                self.answer(held.asking, fault(503, "no majority answers"))
         if self.reading is not None and now >= self.reading[1]:
             asks, self.reading = self.reading[2], None
             self.asks = [a for a in asks + self.asks if now - a[1] < 2.0]
@@ -177,12 +142,12 @@
         out, self.out = self.out, []
         return out
 
-    def _send(self, to: str, message: list) -> None:
+    def send(self, to: str, message: list) -> None:
         if (helper := self.helpers.get(to)) is not None:
             to, message = helper, ["passed", ip_of(to), message]
         self.out.append(Send(to, message))
 
-    def _answer(self, asking: Asking, reply: Reply) -> None:
+    def answer(self, asking: Asking, reply: Reply) -> None:
         self.out.append(Answer(asking, reply))
 
     # Members of the core
@@ -213,7 +178,7 @@
                         DRAINING if status["state"] == DRAINING else READY, int(status["sequence"]),
                         max(0.0, float(status.get("cold_remaining_s") or 0.0)))
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            return self._answer(asking, fault(400, f"the beat can't be read: {error!r}"))
+            return self.answer(asking, fault(400, f"the beat can't be read: {error!r}"))
         changed = self.backends.fold(told, now)
         self.news.add(told.id)
         body = {}
@@ -227,7 +192,7 @@
             return self._spread(asking, [told.id], now, Reply(200, body))
         if changed:
             self._share([told.id], now, 0)
-        self._answer(asking, Reply(200, body))
+        self.answer(asking, Reply(200, body))
 
     def _call_leave(self, asking: Asking, now: float) -> None:
         old = self.backends.known.get(asking.segment)
@@ -250,7 +215,7 @@
         self.tokens += 1
         token = self.tokens
         held = self.calls[token] = Held(asking, now + WAIT_DRAIN, {self.me})
-        held.then = lambda _: self._answer(asking, reply)
+        held.then = lambda _: self.answer(asking, reply)
         self._share(ids, now, token)
         self._held(token)
 
@@ -262,14 +227,14 @@
     def _share(self, ids: list[str], now: float, token: int) -> None:
         items = [self.backends.known[id].now(now).pack() for id in ids if id in self.backends.known]
         for peer in self.others:
-            self._send(peer, ["backends", token, items])
+            self.send(peer, ["backends", token, items])
 
     def _on_backends(self, peer: str, now: float, token: int, items: list) -> None:
         changed = [item[0] for item in items if self.backends.fold(Told(*item), now)]
         if changed:
             self._push(changed, now)
         if token:
-            self._send(peer, ["hold", token])
+            self.send(peer, ["hold", token])
 
     def _on_hold(self, peer: str, now: float, token: int) -> None:
         if (held := self.calls.get(token)) is not None:
@@ -282,7 +247,7 @@
         for m in self.members.known.values():
             if not m.direct or now - m.heard > FRESH:
                 continue
-            state = (m.address, m.life, m.ready)
+            state = (m.address, m.life, m.ready, m.version)
             if self.told_members.get(m.ip) != state:
                 self.told_members[m.ip] = state
                 whole.append(m.pack(now))
@@ -293,18 +258,18 @@
         if fronts != self.told_fronts:
             self.told_fronts = fronts
             for front in self.fronts:
-                self._send(front, ["fronts", fronts])
+                self.send(front, ["fronts", fronts])
         if whole or brief or news:
             for peer in self.others:
-                self._send(peer, ["heard", news, whole, brief])
+                self.send(peer, ["heard", news, whole, brief])
 
     def _on_heard(self, peer: str, now: float, news: list, whole: list, brief: list) -> None:
         revived = [id for id in news if self.backends.fresh(id, 0.0, now)]
         if revived:
             self.out.append(Note("FOUND", {"ids": ", ".join(revived)}))
             self._push(revived, now)
-        for ip, address, zone, region, life, ready, age in whole:
-            self.members.fold(ip, address, zone, region, life, ready, age, now)
+        for *member, age in whole:
+            self.members.fold(*member, age, now)
         for ip, age in brief:
             if (m := self.members.known.get(ip)) is not None and now - age > m.heard:
                 m.heard, m.direct = now - age, False
@@ -319,7 +284,7 @@
         self.out.append(Save([self.backends.known[id].now(now).pack() for id in ids], []))
         items = self._items(ids, now)
         for peer in self.fronts:
-            self._send(peer, ["list", self.life, self.number, items, False])
+            self.send(peer, ["list", self.life, self.number, items, False])
 
     def _items(self, ids: list[str], now: float) -> list:
         out = []
@@ -338,11 +303,11 @@
             self._share(changed, now, 0)
             self._push(changed, now)
         self.fronts[peer] = 0
-        self._send(peer, ["list", self.life, self.number, self._items(list(self.backends.known), now), True])
-        self._send(peer, ["fronts", self.told_fronts])
+        self.send(peer, ["list", self.life, self.number, self._items(list(self.backends.known), now), True])
+        self.send(peer, ["fronts", self.told_fronts])
         if self.world:
-            self._send(peer, ["core", self.core])
-            self._send(peer, ["world", *self._brief()])
+            self.send(peer, ["core", self.core])
+            self.send(peer, ["world", *self._brief()])
 
     def _on_pass(self, peer: str, now: float, ip: str, message: list) -> None:
         """A front that can't reach us speaks by way of another; the answers go back by the same way."""
@@ -356,12 +321,12 @@
         w = self.world
         return [w["rev"], w["version"], w["digest"], w["evac"]]
 
-    def _on_ask(self, peer: str, now: float, stamp: float, ready: bool, heard: int, want: list) -> None:
+    def _on_ask(self, peer: str, now: float, stamp: float, ready: bool, heard: int, want: list, version: int) -> None:
         """A front's ask: for its lease, and by `want` for its parts; `heard` acknowledges changes of the list."""
         if (about := self.about.get(peer)) is None:
-            return self._send(peer, ["who"])
-        self.members.fold(ip_of(peer), about["address"], about["zone"], about["region"], about["life"], ready, 0.0,
-                          now, True)
+            return self.send(peer, ["who"])
+        self.members.fold(ip_of(peer), about["address"], about["zone"], about["region"], about["life"], ready,
+                          version, 0.0, now, True)
         self.fronts[peer] = heard
         self.asks.append((peer, now, stamp))
         self._read(now)
@@ -370,7 +335,7 @@
             if self.steward is not None:
                 self._on_want(name("roll", self.me), now, *ask[1:])
             else:
-                self._send(name("roll", self.duty.holder[1]), ask)
+                self.send(name("roll", self.duty.holder[1]), ask)
 
     # The duty of reckoning parts
 
@@ -384,12 +349,12 @@
         if self.me in line and (term := self.duty.due(now, line.index(self.me), whole)) is not None:
             held = self.duty.holds(now)
             for peer in self.others:
-                self._send(peer, ["claim", list(term), held, self.duty.claims])
+                self.send(peer, ["claim", list(term), held, self.duty.claims])
             if (firm := self.duty.claimed(term, held, now)) is not None:
                 self._voted(term, self.duty.claims, self.me, firm, now)
         if self.duty.left is not None:
             for peer in self.others:
-                self._send(peer, ["released", list(self.duty.left)])
+                self.send(peer, ["released", list(self.duty.left)])
             self.duty.released(self.duty.left)
             self.duty.left = None
         if self.steward is not None and now - self.read_at > HOLD / 3:
@@ -400,18 +365,18 @@
                 self._lead(now)
         if self.steward is not None and self.waiting_in and now >= self.enrolling:
             self.enrolling = now + 0.4
-            self._send(self.store, ["change", 0, "enrol", [sorted(self.waiting_in)], b""])
+            self.send(self.store, ["change", 0, "enrol", [sorted(self.waiting_in)], b""])
 
     def _on_leads(self, peer: str, now: float, term: list) -> None:
         """Who reckons parts has begun: the fronts here ask at once."""
         if self.duty.holder is None or self.duty.holder[1] != term[1]:
             self.duty.holder, self.duty.holder_at = (self.duty.highest, term[1]), now
         for front in self.fronts:
-            self._send(front, ["tell", term])
+            self.send(front, ["tell", term])
 
     def _on_claim(self, peer: str, now: float, term: list, held: bool, number: int) -> None:
         if (firm := self.duty.claimed(tuple(term), held, now)) is not None:
-            self._send(peer, ["granted", term, number, firm])
+            self.send(peer, ["granted", term, number, firm])
 
     def _on_released(self, peer: str, now: float, term: list) -> None:
         self.duty.released(tuple(term))
@@ -427,7 +392,7 @@
         """The duty is ours; its term is a number that is agreed, since no registry remembers one."""
         self.tokens += 1
         self.leading = (self.tokens, now + LEAD_AGAIN)
-        self._send(self.store, ["change", self.tokens, "lead", [], b""])
+        self.send(self.store, ["change", self.tokens, "lead", [], b""])
 
     def _begin_term(self, world: dict, now: float) -> None:
         self.leading = None
@@ -439,7 +404,7 @@
     def _call_fronts(self, now: float) -> None:
         """All fronts are to ask now: we have begun, or know by now what is lent."""
         for peer in self.others:
-            self._send(peer, ["leads", self.steward.term])
+            self.send(peer, ["leads", self.steward.term])
         self._on_leads(self.me, now, self.steward.term)
 
     def _on_want(self, peer: str, now: float, ip: str, life: int, region: str, stamp: float, seen: list, asked: dict,
@@ -465,13 +430,13 @@
         if ip_of(peer) == self.me:
             self._hand_on(answer)
         else:
-            self._send(peer, answer)
+            self.send(peer, answer)
         if not before and self.steward.settled(now):
             self._call_fronts(now)
 
     def _hand_on(self, answer: list) -> None:
         kind, ip, *rest = answer
-        self._send(name("span", ip), [kind, *rest])
+        self.send(name("span", ip), [kind, *rest])
 
     def _on_lend(self, peer: str, now: float, *rest: object) -> None:
         self._hand_on(["lend", *rest])
@@ -506,7 +471,7 @@
             self.tokens += 1
             asks, self.asks = self.asks, []
             self.reading = (self.tokens, now + READ_AGAIN, asks)
-            self._send(self.store, ["read", self.tokens])
+            self.send(self.store, ["read", self.tokens])
 
     def _on_newest(self, peer: str, now: float, token: int, world: dict | None) -> None:
         if world is not None:
@@ -520,7 +485,7 @@
         if world is not None:
             self.read_at = max(self.read_at, began)
             for front, _, stamp in asks:
-                self._send(front, ["lease", stamp, *self._brief()])
+                self.send(front, ["lease", stamp, *self._brief()])
         self._read(now)
 
     def _on_world(self, peer: str, now: float, world: dict) -> None:
@@ -535,13 +500,13 @@
             self.duty.leave()
             self.out.append(Note("YIELDS", {"node": self.me, "reason": f"term {world['term']} has begun"}))
         if world["digest"] and world["digest"] not in self.contents:
-            self._send(self.store, ["want", world["digest"]])
+            self.send(self.store, ["want", world["digest"]])
         else:
             self._figures()
         for front in self.fronts:
             if moved:
-                self._send(front, ["core", self.core])
-            self._send(front, ["world", *self._brief()])
+                self.send(front, ["core", self.core])
+            self.send(front, ["world", *self._brief()])
 
     def _on_content(self, peer: str, now: float, digest: str, data: bytes) -> None:
         self.contents[digest] = data
@@ -552,15 +517,15 @@
         for then in self.wants.pop(digest, ()):
             then()
 
-    def _with_content(self, digest: str, then: Callable[[], None]) -> None:
+    def with_content(self, digest: str, then: Callable[[], None]) -> None:
         if digest in self.contents:
             return then()
         self.wants.setdefault(digest, []).append(then)
-        self._send(self.store, ["want", digest])
+        self.send(self.store, ["want", digest])
 
     def _on_need(self, peer: str, now: float, digest: str) -> None:
         """A front asks for a configuration."""
-        self._with_content(digest, lambda: self._send(peer, ["content", digest, self.contents[digest]]))
+        self.with_content(digest, lambda: self.send(peer, ["content", digest, self.contents[digest]]))
 
     # Clients
 
@@ -569,20 +534,8 @@
         region = asking.query.get("region") or self.regions.get(zone, "")
         addresses = self.members.near(zone, region, now, FRESH)[:64]
         if not addresses:
-            return self._answer(asking, fault(503, "no front is ready"))
-        self._answer(asking, Reply(200, {"addresses": addresses, "ttl_s": self.ttl}))
-
-    # Operators
-
-    def _wait(self, asking: Asking, now: float, then: Callable[[list], None]) -> int:
-        self.tokens += 1
-        self.calls[self.tokens] = Held(asking, now + WAIT_CHANGE, then=then)
-        return self.tokens
-
-    def _change(self, asking: Asking, now: float, kind: str, args: list, data: bytes = b"") -> None:
-        token = self._wait(asking, now, lambda got: self._answer(
-            asking, Reply(200, {}) if got[0] == 200 else fault(got[0], got[1])))
-        self._send(self.store, ["change", token, kind, args, data])
+            return self.answer(asking, fault(503, "no front is ready"))
+        self.answer(asking, Reply(200, {"addresses": addresses, "ttl_s": self.ttl}))
 
     def _on_changed(self, peer: str, now: float, token: int, status: int, reason: str, world: dict | None) -> None:
         if world is not None:
@@ -596,66 +549,9 @@
         if (held := self.calls.pop(token, None)) is not None:
             held.then([status, reason])
 
-    def _call_put(self, asking: Asking, now: float) -> None:
-        read = versions.decode(asking.body).and_then(
-            lambda value: versions.numbers(value).and_then(lambda n: _check(value).map(lambda _: (value, n))))
-        if isinstance(read, Err):
-            return self._answer(asking, fault(read.err_value.status, str(read.err_value)))
-        value, (version, base) = read.ok_value
-        self._agree(asking, now, version, base, versions.digest(b"PUT" + asking.body), value)
-
-    def _agree(self, asking: Asking, now: float, version: int, base: int, sent: str, value: dict) -> None:
-        data = zlib.compress(versions.encode(value), 1)
-        self._change(asking, now, "put", [version, base, sent, versions.digest(data)], data)
-
-    def _call_patch(self, asking: Asking, now: float) -> None:
-        read = versions.decode(asking.body).and_then(lambda v: versions.numbers(v).map(lambda n: (v, n)))
-        if isinstance(read, Err):
-            return self._answer(asking, fault(read.err_value.status, str(read.err_value)))
-        value, (version, base) = read.ok_value
-        sent = versions.digest(b"PATCH" + asking.body)
-
-        def with_world(got: list) -> None:
-            if (world := got[0]) is None:
-                return self._answer(asking, fault(503, "no majority answers"))
-            if [version, sent] in world["past"]:
-                return self._answer(asking, Reply(200, {}))
-            if base != world["version"] or not world["digest"]:
-                return self._answer(asking, fault(412, f"version {world['version']} is in place, not {base}"))
-            self._with_content(world["digest"], lambda: merged(world["digest"]))
-
-        def merged(digest: str) -> None:
-            held = versions.decode(zlib.decompress(self.contents[digest])).unwrap()
-            made = versions.merge(held, value).and_then(lambda whole: _check(whole).map(lambda _: whole))
-            if isinstance(made, Err):
-                return self._answer(asking, fault(made.err_value.status, str(made.err_value)))
-            self._agree(asking, now, version, base, sent, made.ok_value)
-
-        self._send(self.store, ["read", self._wait(asking, now, with_world)])
-
-    def _call_get(self, asking: Asking, now: float) -> None:
-        def with_world(got: list) -> None:
-            if (world := got[0]) is None:
-                return self._answer(asking, fault(503, "no majority answers"))
-            if not (digest := world["digest"]):
-                return self._answer(asking, fault(404, "there is no configuration yet"))
-            self._with_content(digest, lambda: self._answer(
-                asking, Reply(200, raw=zlib.decompress(self.contents[digest]))))
-
-        self._send(self.store, ["read", self._wait(asking, now, with_world)])
-
-    def _call_evacuate(self, asking: Asking, now: float) -> None:
-        self._change(asking, now, "evacuate", [asking.segment, True])
-
-    def _call_restore(self, asking: Asking, now: float) -> None:
-        self._change(asking, now, "evacuate", [asking.segment, False])
-
-    def _call_status(self, asking: Asking, now: float) -> None:
-        """The whole as this core machine sees it."""
-        self._answer(asking, Reply(200, {
-            "node": self.me, "version": self.world.get("version", 0), "revision": self.world.get("rev", 0),
-            "voters": self.world.get("voters", {}), "evacuated": self.world.get("evac", []),
-            "reckons": self.duty.holder[1] if self.duty.holder is not None and (
-                now - self.duty.holder_at < SPAN) else "",
-            "fronts": [m.pack(now) for m in self.members.known.values()],
-            "backends": [b.now(now).pack() for b in self.backends.known.values()]}))
+
+
+
+
+
+
--- /dev/null
+++ b/fennelpoint/system/roll/office.py
@@ -0,0 +1,155 @@
+"""The decider of operators' calls at a registry: changes, reading back, what there is and why.
+
+A part of `desk.Desk`: it asks the store beside it, by tokens, and answers once a majority has.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from result import Err, Result
+
+from fennelpoint.system import versions
+from fennelpoint.system.roll.duty import SPAN
+from fennelpoint.system.roll.view import DRAINING
+from fennelpoint.system.roll.waits import Held, fault
+from fennelpoint.system.web import Asking, Reply
+
+if TYPE_CHECKING:
+    from fennelpoint.system.roll.desk import Desk
+
+WAIT_CHANGE = 3.0   # s for the store
+SNAPSHOT = 1        # schema of a snapshot
+KEPT = ("version", "past", "evac")      # of the agreed value, what a snapshot holds beside the configuration
+
+
+def _check(value: dict) -> Result:
+    """By pydantic, which is loaded with the first change: a registry that restarts is up in half the time."""
+    from fennelpoint.system.forms import check
+
+    return check(value)
+
+
+class Office:
+    """Operators' calls at one core machine."""
+
+    def __init__(self, desk: Desk) -> None:
+        self.desk = desk
+
+    def _wait(self, asking: Asking, now: float, then: Callable[[list], None]) -> int:
+        self.desk.tokens += 1
+        self.desk.calls[self.desk.tokens] = Held(asking, now + WAIT_CHANGE, then=then)
+        return self.desk.tokens
+
+    def _change(self, asking: Asking, now: float, kind: str, args: list, data: bytes = b"") -> None:
+        token = self._wait(asking, now, lambda got: self.desk.answer(
+            asking, Reply(200, {}) if got[0] == 200 else fault(got[0], got[1])))
+        self.desk.send(self.desk.store, ["change", token, kind, args, data])
+
+    def _call_put(self, asking: Asking, now: float) -> None:
+        read = versions.decode(asking.body).and_then(
+            lambda value: versions.numbers(value).and_then(lambda n: _check(value).map(lambda _: (value, n))))
+        if isinstance(read, Err):
+            return self.desk.answer(asking, fault(read.err_value.status, str(read.err_value)))
+        value, (version, base) = read.ok_value
+        self._agree(asking, now, version, base, versions.digest(b"PUT" + asking.body), value)
+
+    def _agree(self, asking: Asking, now: float, version: int, base: int, sent: str, value: dict) -> None:
+        data = zlib.compress(versions.encode(value), 1)
+        self._change(asking, now, "put", [version, base, sent, versions.digest(data)], data)
+
+    def _call_patch(self, asking: Asking, now: float) -> None:
+        read = versions.decode(asking.body).and_then(lambda v: versions.numbers(v).map(lambda n: (v, n)))
+        if isinstance(read, Err):
+            return self.desk.answer(asking, fault(read.err_value.status, str(read.err_value)))
+        value, (version, base) = read.ok_value
+        sent = versions.digest(b"PATCH" + asking.body)
+
+        def with_world(got: list) -> None:
+            if (world := got[0]) is None:
+                return self.desk.answer(asking, fault(503, "no majority answers"))
+            if [version, sent] in world["past"]:
+                return self.desk.answer(asking, Reply(200, {}))
+            if base != world["version"] or not world["digest"]:
+                return self.desk.answer(asking, fault(412, f"version {world['version']} is in place, not {base}"))
+            self.desk.with_content(world["digest"], lambda: merged(world["digest"]))
+
+        def merged(digest: str) -> None:
+            held = versions.decode(zlib.decompress(self.desk.contents[digest])).unwrap()
+            made = versions.merge(held, value).and_then(lambda whole: _check(whole).map(lambda _: whole))
+            if isinstance(made, Err):
+                return self.desk.answer(asking, fault(made.err_value.status, str(made.err_value)))
+            self._agree(asking, now, version, base, sent, made.ok_value)
+
+        self.desk.send(self.desk.store, ["read", self._wait(asking, now, with_world)])
+
+    def _call_get(self, asking: Asking, now: float) -> None:
+        def with_world(got: list) -> None:
+            if (world := got[0]) is None:
+                return self.desk.answer(asking, fault(503, "no majority answers"))
+            if not (digest := world["digest"]):
+                return self.desk.answer(asking, fault(404, "there is no configuration yet"))
+            self.desk.with_content(digest, lambda: self.desk.answer(
+                asking, Reply(200, raw=zlib.decompress(self.desk.contents[digest]))))
+
+        self.desk.send(self.desk.store, ["read", self._wait(asking, now, with_world)])
+
+    def _call_evacuate(self, asking: Asking, now: float) -> None:
+        self._change(asking, now, "evacuate", [asking.segment, True])
+
+    def _call_restore(self, asking: Asking, now: float) -> None:
+        self._change(asking, now, "evacuate", [asking.segment, False])
+
+    # A core that was lost for good
+
+    def _call_snapshot(self, asking: Asking, now: float) -> None:
+        """All that is agreed and has to outlast the core, as one object."""
+        def with_world(got: list) -> None:
+            if (world := got[0]) is None:
+                return self.desk.answer(asking, fault(503, "no majority answers"))
+            if not (digest := world["digest"]):
+                return self.desk.answer(asking, fault(404, "there is no configuration yet"))
+            self.desk.with_content(digest, lambda: self.desk.answer(asking, Reply(200, {
+                "schema": SNAPSHOT, **{name: world[name] for name in KEPT},
+                "configuration": versions.decode(zlib.decompress(self.desk.contents[digest])).unwrap()})))
+
+        self.desk.send(self.desk.store, ["read", self._wait(asking, now, with_world)])
+
+    def _call_revive(self, asking: Asking, now: float) -> None:
+        """A snapshot, for a core that was just founded; one that holds anything refuses it."""
+        read = versions.decode(asking.body).and_then(versions.snapshot)
+        checked = read.and_then(lambda value: _check(value["configuration"]))
+        if isinstance(checked, Err):
+            return self.desk.answer(asking, fault(checked.err_value.status, str(checked.err_value)))
+        value = read.ok_value
+        data = zlib.compress(versions.encode(value["configuration"]), 1)
+        self._change(asking, now, "revive", [value["version"], versions.digest(data), value["past"],
+                                             value["evac"]], data)
+
+    # What there is
+
+    def _call_status(self, asking: Asking, now: float) -> None:
+        """The whole as this core machine sees it."""
+        desk, world = self.desk, self.desk.world
+        holder = desk.duty.holder
+        self.desk.answer(asking, Reply(200, {
+            "node": desk.me, "version": world.get("version", 0), "revision": world.get("rev", 0),
+            "voters": world.get("voters", {}), "before": world.get("before", {}), "ready": world.get("ready", {}),
+            "evacuated": world.get("evac", []), "term": world.get("term", 0),
+            "reckons": holder[1] if holder is not None and now - desk.duty.holder_at < SPAN else "",
+            "linked": sorted(desk.links),
+            "behind": sorted(m.ip for m in desk.members.known.values() if m.version < world.get("version", 0)),
+            "drains": sorted(id for id, b in desk.backends.known.items() if b.told.state == DRAINING),
+            "fronts": [m.pack(now) for m in desk.members.known.values()],
+            "backends": [[*b.now(now).pack(), b.lost] for b in desk.backends.known.values()]}))
+
+    def _call_parts(self, asking: Asking, now: float) -> None:
+        """Who holds which parts, told by who reckons them; elsewhere, where that is."""
+        desk = self.desk
+        if desk.steward is not None and desk.duty.holds(now):
+            return desk.answer(asking, Reply(200, {"node": desk.me, **desk.steward.told(now)}))
+        if (holder := desk.duty.holder) is None or now - desk.duty.holder_at >= SPAN or holder[1] == desk.me:
+            return desk.answer(asking, fault(503, "nobody reckons parts"))
+        desk.answer(asking, Reply(307, {}, headers=[("Location", f"http://{holder[1]}:{desk.port}/api/parts")]))
--- a/fennelpoint/system/roll/steward.py
+++ b/fennelpoint/system/roll/steward.py
@@ -107,6 +107,19 @@
         front.grants = [g for g in front.grants if now < g.ends]
         return self._lend(front, rates, cold, now)
 
+    def told(self, now: float) -> dict:
+        """For operators: the term, and of each front what it asked a second and what it may be using."""
+        fronts = {}
+        for f in self.fronts.values():
+            grants = [g for g in f.grants if now < g.ends]
+            kinds = {kind: sorted({key for g in grants for key in getattr(g, kind)}) for kind in ("quotas", "cold")}
+            fronts[f.ip] = {
+                "heard": round(now - f.heard, 1) if f.heard > 0.0 else None, "known": f.known,
+                "asked": {tenant: round(rate, 1) for tenant, rate in f.asked.items()},
+                "slack": f.out("slack", "", now),
+                **{kind: {key: f.out(kind, key, now) for key in keys} for kind, keys in kinds.items()}}
+        return {"term": self.term[0], "settled": self.settled(now), "whole": WHOLE, "fronts": fronts}
+
     def _ask(self, front: Front, asked: Mapping[str, float], now: float) -> None:
         span = max(0.05, now - front.faded) if front.faded else 0.5
         keep = 0.5 ** (span / HALF)
--- a/fennelpoint/system/roll/view.py
+++ b/fennelpoint/system/roll/view.py
@@ -126,11 +126,13 @@
     region: str
     life: int
     ready: bool
+    version: int            # of the configuration in force there
     heard: float
     direct: bool = False    # it asks here
 
     def pack(self, now: float) -> list:
-        return [self.ip, self.address, self.zone, self.region, self.life, self.ready, round(now - self.heard, 2)]
+        return [self.ip, self.address, self.zone, self.region, self.life, self.ready, self.version,
+                round(now - self.heard, 2)]
 
 
 @dataclass(slots=True)
@@ -139,12 +141,12 @@
 
     known: dict[str, Member] = field(default_factory=dict)
 
-    def fold(self, ip: str, address: str, zone: str, region: str, life: int, ready: bool, age: float, now: float,
-             direct: bool = False) -> None:
+    def fold(self, ip: str, address: str, zone: str, region: str, life: int, ready: bool, version: int, age: float,
+             now: float, direct: bool = False) -> None:
         old = self.known.get(ip)
         if old is not None and now - age < old.heard:
             return      # what was said earlier; lives are drawn, and tell no order
-        self.known[ip] = Member(ip, address, zone, region, life, ready, now - age, direct)
+        self.known[ip] = Member(ip, address, zone, region, life, ready, version, now - age, direct)
 
     def near(self, zone: str, region: str, now: float, fresh: float, least: int = 2) -> list[str]:
         """Addresses of fronts that are ready, for a client there: its region's, or all where that has few."""
--- a/fennelpoint/system/span/tether.py
+++ b/fennelpoint/system/span/tether.py
@@ -76,6 +76,7 @@
     evac: frozenset = frozenset()
     core: dict[str, str] = field(default_factory=dict)  # zones by IP address
     applied: str = ""       # digest of the configuration in force here
+    goes_by: int = 0        # its version
     until: float = 0.0      # end of the lease
     held: bool = False
     ready: bool = False
@@ -171,7 +172,7 @@
         parts = self.parts
         holds = [parts.quotas, parts.cold, parts.slack] if self.holds and parts.number else None
         self._send(self.helper, ["pass", ["ask", now, self.ready, self.number,
-                                          [[parts.term, parts.number], self.asked(), holds]]])
+                                          [[parts.term, parts.number], self.asked(), holds], self.goes_by]])
 
     def _on_pass(self, peer: str, now: float, message: list) -> None:
         """Another front asks us to pass a word on: we add no trust, as it carries its own stamp."""
@@ -232,7 +233,7 @@
         holds = [parts.quotas, parts.cold, parts.slack] if self.holds and parts.number else None
         want = [[parts.term, parts.number], self.asked(), holds]
         for i, peer in enumerate(peers):
-            self._send(peer, ["ask", now, self.ready, self.number, want if i == 0 else []])
+            self._send(peer, ["ask", now, self.ready, self.number, want if i == 0 else [], self.goes_by])
 
     # What is told
 
@@ -314,7 +315,7 @@
     def _on_content(self, peer: str, now: float, digest: str, data: bytes) -> None:
         if digest != self.digest or digest == self.applied:
             return
-        self.applied = digest
+        self.applied, self.goes_by = digest, self.version
         self.out.append(Apply(self.version, data))
         waits = self.pending.get(digest, [0.0])
         self.pending.clear()
--- a/fennelpoint/system/tool.py
+++ b/fennelpoint/system/tool.py
@@ -7,6 +7,10 @@
   larchwing-system patch FILE [--core ADDRESS]... [--dry-run]
   larchwing-system evacuate ZONE [--core ADDRESS]...
   larchwing-system restore ZONE [--core ADDRESS]...
+  larchwing-system explain (route HOST PATH | tenant NAME | backend ID) [--core ADDRESS]... [--json]
+  larchwing-system watch [--for SECONDS] [--core ADDRESS]...
+  larchwing-system snapshot FILE [--core ADDRESS]...
+  larchwing-system revive FILE [--core ADDRESS]...
   larchwing-system check FILE
   larchwing-system events
   larchwing-system -h | --help
@@ -16,6 +20,7 @@
                   LARCHWING_CORES, with commas between
   --dry-run       check it, and say what would change
   --json          figures as JSON
+  --for SECONDS   how long to watch; else until it is stopped
 
 Ends with 0 when it is done, 1 when no core machine gave a clear answer, 2 for a fault in what was given, 3 when it
 was refused.
@@ -27,25 +32,31 @@
 import json
 import os
 import sys
+import time
 from pathlib import Path
+from urllib.parse import urlsplit
 
 from docopt import docopt
 from result import Err, Ok, Result
 
-from fennelpoint.system import versions
+from fennelpoint.system import explain, snapshots, versions
 from fennelpoint.system.events import Event
 from fennelpoint.system.failure import Failure
 from fennelpoint.system.settings import address
 
 DONE, UNCLEAR, FAULTY, REFUSED = 0, 1, 2, 3
 WAIT, ROUNDS = 4.0, 3   # s for an answer; times that all core machines are tried
+FOLLOWED = 2            # times that a core machine may name another one for a call
+LOOK = 1.0              # s between two looks while watching
 UNCLEAR_STATUS = (408, 429, 500, 502, 503, 504)
 
 
 def call(cores: list[str], method: str, path: str, body: bytes = b"") -> Result[bytes, Failure]:
     """The body of a 2xx; core machines are tried until one answers clearly: calls may be sent again as they are."""
     last = Failure("call", "", "no core machine is named: --core or LARCHWING_CORES", 0)
-    for core in cores * ROUNDS:
+    left, followed = cores * ROUNDS, 0
+    while left:
+        core = left.pop(0)
         try:
             host, port = address(core)
             connection = http.client.HTTPConnection(host, port, timeout=WAIT)
@@ -57,6 +68,10 @@
             continue
         if answer.status < 300:
             return Ok(data)
+        if answer.status == 307 and followed < FOLLOWED:
+            followed += 1
+            left.insert(0, urlsplit(answer.headers["Location"] or "").netloc)
+            continue
         reason = data.decode(errors="replace")
         try:
             reason = json.loads(data)["error_message"]
@@ -95,20 +110,6 @@
     return lines
 
 
-def status_lines(value: dict) -> list[str]:
-    """What one core machine sees, for people."""
-    lines = [f"core machine {value['node']}: version {value['version']}, revision {value['revision']}",
-             f"voters: {', '.join(f'{ip} ({zone})' for ip, zone in sorted(value['voters'].items()))}",
-             f"evacuated: {', '.join(value['evacuated']) or 'no zone'}",
-             f"parts are reckoned by: {value['reckons'] or 'nobody'}"]
-    for ip, where, zone, _, _, ready, age in sorted(value["fronts"]):
-        lines.append(f"front {ip} {zone} at {where}: {'ready' if ready else 'not ready'}, heard {age:.1f} s ago")
-    for id, where, service, zone, slots, _, state, _, cold, age in sorted(value["backends"], key=lambda b: b[2:4]):
-        lines.append(f"backend {id} {service} {zone} at {where}: {state}, {slots} slots, heard {age:.1f} s ago"
-                     + (f", cold for {cold:.1f} s" if cold else ""))
-    return lines
-
-
 def catalogue() -> str:
     """The numbered log events as a table of Markdown."""
     rows = [f"| {number} | {event.name} | {level} | `{text}` | {meaning} |"
@@ -152,6 +153,41 @@
     return _fail(answer.err_value, REFUSED if 400 <= status < 500 and status not in UNCLEAR_STATUS else UNCLEAR)
 
 
+def _explain(cores: list[str], asked: dict) -> int:
+    got = {}
+    for name, path in (("held", "/api/configuration"), ("status", "/api/status"), ("parts", "/api/parts")):
+        answer = call(cores, "GET", path)
+        if isinstance(answer, Err) and name != "parts":     # nobody reckons for a moment: told as such
+            return _said(answer)
+        got[name] = json.loads(answer.ok_value) if isinstance(answer, Ok) else {}
+    if asked["route"]:
+        told = explain.route(got["held"], got["status"], asked["HOST"], asked["PATH"])
+    elif asked["tenant"]:
+        told = explain.tenant(got["held"], got["parts"], asked["NAME"])
+    else:
+        told = explain.backend(got["held"], got["status"], got["parts"], asked["ID"])
+    if isinstance(told, Err):
+        return _fail(told.err_value, FAULTY)
+    print(json.dumps(told.ok_value) if asked["--json"] else "\n".join(explain.lines(told.ok_value)))
+    return DONE
+
+
+def _watch(cores: list[str], seconds: float | None) -> int:
+    """A line for all that is new, each second."""
+    before, end = None, None if seconds is None else time.monotonic() + seconds
+    while end is None or time.monotonic() < end:
+        answer = call(cores, "GET", "/api/status")
+        if isinstance(answer, Err):
+            print(f"{time.strftime('%H:%M:%S')} {answer.err_value}", flush=True)
+        else:
+            now = json.loads(answer.ok_value)
+            for line in explain.changes(before, now):
+                print(f"{time.strftime('%H:%M:%S')} {line}", flush=True)
+            before = now
+        time.sleep(LOOK)
+    return DONE
+
+
 def main(argv: list[str] | None = None) -> int:
     """The command; returns its exit code."""
     asked = docopt(__doc__, argv)
@@ -168,11 +204,23 @@
         return _change(cores, "PATCH" if asked["patch"] else "PUT", asked["FILE"], asked["--dry-run"])
     if asked["evacuate"] or asked["restore"]:
         return _said(call(cores, "POST" if asked["evacuate"] else "DELETE", f"/api/evacuation/{asked['ZONE']}"))
+    if asked["explain"]:
+        return _explain(cores, asked)
+    if asked["watch"]:
+        return _watch(cores, float(asked["--for"]) if asked["--for"] else None)
+    if asked["snapshot"]:
+        answer = call(cores, "GET", "/api/snapshot")
+        return _said(answer.and_then(lambda data: snapshots.write(asked["FILE"], json.loads(data))))
+    if asked["revive"]:
+        read = snapshots.read(asked["FILE"])
+        if isinstance(read, Err):
+            return _fail(read.err_value, FAULTY)
+        return _said(call(cores, "PUT", "/api/snapshot", json.dumps(read.ok_value).encode()))
     answer = call(cores, "GET", "/api/status" if asked["status"] else "/api/configuration")
     if isinstance(answer, Err):
         return _said(answer)
     if asked["status"] and not asked["--json"]:
-        print("\n".join(status_lines(json.loads(answer.ok_value))))
+        print("\n".join(explain.status_lines(json.loads(answer.ok_value))))
     else:
         print(answer.ok_value.decode())
     return DONE
--- a/fennelpoint/system/versions.py
+++ b/fennelpoint/system/versions.py
@@ -86,6 +86,21 @@
     return Ok(made)
 
 
+def snapshot(value: dict) -> Result[dict, Failure]:
+    """What a snapshot has to hold, but for its configuration, which is checked as any other."""
+    past, evac, held = value.get("past"), value.get("evac"), value.get("configuration")
+    if value.get("schema") != 1:
+        return Err(Failure("snapshot", "", f"it has schema {value.get('schema')!r}, not 1", 400))
+    if not isinstance(held, dict) or type(value.get("version")) is not int or held.get("version") != value["version"]:
+        return Err(Failure("snapshot", "", "configuration: it is missing, or of another version", 400))
+    if not isinstance(evac, list) or not all(isinstance(zone, str) for zone in evac):
+        return Err(Failure("snapshot", "", "evac: it is no list of zones", 400))
+    if not isinstance(past, list) or not all(
+            isinstance(one, list) and [type(part) for part in one] == [int, str] for one in past):
+        return Err(Failure("snapshot", "", "past: it is no list of changes", 400))
+    return Ok(value)
+
+
 def encode(value: dict) -> bytes:
     return json.dumps(value, separators=(",", ":"), ensure_ascii=False).encode()
 
--- a/fennelpoint/system/web.py
+++ b/fennelpoint/system/web.py
@@ -14,7 +14,7 @@
 
 IDLE = 12.0     # s that a connection may stand
 REASONS = {200: "OK", 307: "Temporary Redirect", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           412: "Precondition Failed", 413: "Content Too Large", 422: "Unprocessable Content",
+           409: "Conflict", 412: "Precondition Failed", 413: "Content Too Large", 422: "Unprocessable Content",
            429: "Too Many Requests", 503: "Service Unavailable"}
 
 
--- a/fennelpoint/system/writ/keeper.py
+++ b/fennelpoint/system/writ/keeper.py
@@ -39,6 +39,7 @@
     evacuate,
     groups_of,
     lead,
+    revive,
     same,
     settle,
     stand_by,
@@ -325,7 +326,7 @@
             self._want(digest, now)
 
     def _on_change(self, peer: str, now: float, token: object, kind: str, args: list, data: bytes) -> None:
-        made = {"put": configure, "evacuate": evacuate, "enrol": enrol, "lead": lead}[kind](*args)
+        made = {"put": configure, "evacuate": evacuate, "enrol": enrol, "lead": lead, "revive": revive}[kind](*args)
         self._add(Job(made, token, now, data), now)
 
     def _on_stored(self, peer: str, now: float, number: int, name: str, digest: str) -> None:
--- a/fennelpoint/system/writ/world.py
+++ b/fennelpoint/system/writ/world.py
@@ -81,6 +81,18 @@
     return Change(make)
 
 
+def revive(version: int, digest: str, past: list, evac: list) -> Change:
+    """What a snapshot holds, for a core that was just founded: one that holds anything is not overwritten."""
+    def make(world: dict, outcome: Outcome) -> dict:
+        if (world["version"], world["digest"]) == (version, digest):
+            return world    # it was taken: its answer was lost
+        if world["version"] or world["past"] or world["evac"]:
+            outcome.status, outcome.reason = 409, f"the core lives: it holds version {world['version']}"
+            return world
+        return {**world, "version": version, "digest": digest, "past": past[-PAST:], "evac": sorted(evac)}
+    return Change(make, digest)
+
+
 def enrol(fronts: list[str]) -> Change:
     """These fronts may hold parts: whoever reckons those must hear of them first."""
     def make(world: dict, outcome: Outcome) -> dict:
--- a/tests/system/test_tool.py
+++ b/tests/system/test_tool.py
@@ -30,7 +30,10 @@
     loop, ready, address = asyncio.new_event_loop(), threading.Event(), []
 
     def take(asking) -> None:
-        world._roll(world.cores["a1"], world.cores["a1"].desk.call(asking, world.now))
+        world.asked.setdefault("", []).append(asking)   # replies are kept by identity
+        at = next((c for c in world.cores.values() if c.desk.steward is not None and asking.call.name == "parts"),
+                  world.cores["a1"])
+        world._roll(at, at.desk.call(asking, world.now))
         world.run(world.now + 0.5)
         if (reply := world.replies.get(id(asking))) is not None:
             asking.answer(reply)
@@ -78,6 +81,87 @@
     assert "evacuated: za" in capsys.readouterr().out
 
 
+def test_what_is_so_is_explained_and_what_is_new_is_watched(core, tmp_path, capsys) -> None:
+    file = tmp_path / "c.json"
+    value = configuration(3, 0)
+    value["tenants"] = [{"name": "t1", "api_keys": ["k"], "rate_per_s": 20, "burst_size": 20}]
+    file.write_text(json.dumps(value))
+    assert run("apply", str(file), "--core", core) == tool.DONE
+    capsys.readouterr()
+    assert run("explain", "route", "h", "/r/1", "--core", core, "--json") == tool.DONE
+    told = json.loads(capsys.readouterr().out)
+    assert told["route"] == "r" and told["services"]["svc"]["may be sent to"] == ["s1", "s2"]
+    assert run("evacuate", "zb", "--core", core) == tool.DONE
+    assert run("explain", "backend", "s2", "--core", core) == tool.DONE
+    assert "why not: zone zb is evacuated" in capsys.readouterr().out
+    for _ in range(6):      # the duty comes and fronts ask
+        assert run("explain", "tenant", "t1", "--core", core, "--json") == tool.DONE
+        told = json.loads(capsys.readouterr().out)
+    assert told["rate_per_s"] == 20 and 0.5 < told["lent"] <= 1.0 and told["fronts"]["fa"]["part"] > 0.1
+    for wrong in (("route", "h", "/x/"), ("route", "nobody", "/r/"), ("tenant", "t9"), ("backend", "s9")):
+        assert run("explain", *wrong, "--core", core) == tool.FAULTY
+    assert run("watch", "--for", "0.1", "--core", core) == tool.DONE
+    assert "evacuated: zb" in capsys.readouterr().out
+
+
+def test_a_snapshot_founds_a_core_anew_and_nothing_else(core, tmp_path, capsys) -> None:
+    file, kept = tmp_path / "c.json", tmp_path / "kept"
+    file.write_text(json.dumps(configuration(3, 0)))
+    assert run("snapshot", str(kept), "--core", core) == tool.REFUSED      # there is nothing yet
+    assert run("apply", str(file), "--core", core) == tool.DONE
+    assert run("evacuate", "za", "--core", core) == tool.DONE
+    assert run("snapshot", str(kept), "--core", core) == tool.DONE
+    assert run("revive", str(kept), "--core", core) == tool.DONE           # it holds just that: sent again
+    file.write_text(json.dumps(configuration(4, 3)))
+    assert run("apply", str(file), "--core", core) == tool.DONE
+    assert run("revive", str(kept), "--core", core) == tool.REFUSED
+    assert "the core lives" in capsys.readouterr().err
+    held = json.loads(kept.read_text())
+    held["snapshot"]["version"] = 9
+    kept.write_text(json.dumps(held))
+    assert run("revive", str(kept), "--core", core) == tool.FAULTY
+    assert "checksum" in capsys.readouterr().err
+    kept.write_text(kept.read_text()[:50])
+    assert run("revive", str(kept), "--core", core) == tool.FAULTY
+    assert str(kept) in capsys.readouterr().err
+
+
+def test_a_new_core_takes_a_snapshot_and_goes_on_from_there(tmp_path) -> None:
+    old, new = World(), World(2)
+    for world in (old, new):
+        for line in (Path(__file__).parent / "scenarios" / "site").read_text().splitlines():
+            world.do(line.split())
+        world.run(2.0)
+    old.put(3, 0, "a1")
+    old.run(3.0)
+    old.call("POST", "/api/evacuation/zb", None, "b1", "evacuate")
+    old.run(4.0)
+    old.call("GET", "/api/snapshot", None, "c1", "snapshot")
+    old.run(5.0)
+    snapshot = old.replies[id(old.asked["snapshot"][-1])].value
+    assert snapshot["version"] == 3 and snapshot["evac"] == ["zb"]
+    new.call("PUT", "/api/snapshot", snapshot, "b1", "revive")
+    new.run(4.0)
+    new.put(3, 0, "a1", "again")        # it was taken by the old core: told so
+    new.put(5, 3, "c1")
+    new.run(6.0)
+    assert [new.status(label) for label in ("revive", "again", "put 5")] == [200, 200, 200]
+    assert new.cores["a2"].desk.world["evac"] == ["zb"] and new.fronts["fa"].version == 5
+
+
+def test_who_does_not_reckon_names_who_does() -> None:
+    world = World()
+    for line in (Path(__file__).parent / "scenarios" / "site").read_text().splitlines():
+        world.do(line.split())
+    world.put(3, 0, "a1")
+    world.run(4.0)
+    (who,) = (ip for ip, core in world.cores.items() if core.desk.steward is not None)
+    for ip in world.cores:
+        world.call("GET", "/api/parts", None, ip, ip)
+        reply = world.replies[id(world.asked[ip][-1])]
+        assert reply.status == 200 if ip == who else ("Location", f"http://{who}:8200/api/parts") in reply.headers
+
+
 def test_exit_codes_tell_a_fault_a_refusal_and_nobody_there(core, tmp_path, capsys) -> None:
     file = tmp_path / "c.json"
     file.write_text(json.dumps(configuration(3, 0, "nobody")))
