Store: what a disk refused is told to nobody, and the machine votes again by itself

Cause: a machine whose disk refused a vote kept it in memory and told it to readers (peek, and prepares of later ballots): a majority counted that way is gone with the power. It also stayed out until its program was restarted. Ruled out: the answer to the very message, which was held back rightly. Change: while a write is owed nothing of what the disk holds is said; all of it is written anew each second, and 206 says when that is done. A change that failed half way is rolled back in the file.

--- a/fennelpoint/fleet/store.py
+++ b/fennelpoint/fleet/store.py
@@ -116,6 +116,11 @@
         self.db.execute("COMMIT")
         self.keeper = keeper
 
+    def undo(self) -> None:
+        """Leave a change that failed half way: the file is as it was before."""
+        if self.db.in_transaction:
+            self.db.execute("ROLLBACK")
+
     def _seal(self) -> None:
         """What all cells are, so that one that is missing is missed."""
         rows = self.db.execute("SELECT key, value, digest FROM cells ORDER BY key")
--- a/fennelpoint/standins/core_world.py
+++ b/fennelpoint/standins/core_world.py
@@ -187,6 +187,8 @@
             if core.full and isinstance(action, writ.Save | writ.SaveContent):
                 return core.store.sick("the disk is full")
             match action:
+                case writ.Whole():
+                    core.store.well()
                 case writ.Send(to, message):
                     self.send(name("writ", core.ip), name("roll", core.ip) if to == writ.ROLL else name("writ", to),
                               message)
@@ -381,8 +383,8 @@
             case ["kill", *ips]:
                 for ip in self._these([i for i in ips if i != "wipe"]):
                     self.kill(ip, wipe="wipe" in ips)
-            case ["full", ip]:
-                self.cores[ip].full = True
+            case ["full" | "room" as word, ip]:
+                self.cores[ip].full = word == "full"
             case ["cut", *ips]:
                 left, right = ips[:ips.index("from")], ips[ips.index("from") + 1:]
                 self.cuts |= {frozenset((a, b)) for a in self._these(left) for b in self._these(right) if a != b}
--- a/fennelpoint/system/events.py
+++ b/fennelpoint/system/events.py
@@ -25,6 +25,7 @@
     VOTERS = (203, "notice", "voters are {voters}", "Membership of the core changed.")
     SET_ASIDE = (204, "error", "{path} is not believed: {reason}", "A torn or foreign file; a rejoin follows.")
     DISK = (205, "error", "{step} failed: {reason}", "The disk refuses writes: this machine stops voting.")
+    DISK_WELL = (206, "notice", "{node} has a disk again", "All that it should hold was written; it votes.")
     DECIDED = (210, "info", "version {version} is agreed, revision {rev}", "A change is acknowledged.")
     REFUSED = (211, "info", "a change is refused: {reason}", "Told to the operator with a 4xx.")
     EVACUATED = (212, "notice", "evacuated zones: {zones}", "Nothing more is sent to them.")
--- a/fennelpoint/system/writ/keeper.py
+++ b/fennelpoint/system/writ/keeper.py
@@ -54,6 +54,8 @@
 PAUSE = (0.015, 0.09)   # s between two rounds that got into each other's way
 REJOIN = 0.4            # s between tries to come back
 STAND_BY = 0.5          # s between tries to become a voter
+MEND = 1.0              # s between tries to write to a disk that refused
+DISK_ONLY = ("prepare", "peek", "accept", "hail", "store")  # answered by what is on disk, or not at all
 
 
 @dataclass(slots=True)
@@ -71,7 +73,12 @@
     data: bytes
 
 
-Action = Send | Save | SaveContent | Note
+@dataclass(slots=True)
+class Whole:
+    """The disk took all that came before this."""
+
+
+Action = Send | Save | SaveContent | Whole | Note
 ROLL = "roll"
 
 
@@ -115,7 +122,8 @@
         self.wanted: dict[str, float] = {}  # contents that are asked for, and when again
         self.out: list[Action] = []
         self.born = now
-        self.ill = ""           # the disk refuses: no vote until it takes writes again
+        self.ill = ""           # the disk refuses: no word of what it holds until it has taken all of it
+        self.mend_at = now
         if not keeper.votes:
             if founds:
                 # All founders write the same, so that it is agreed from the start, and no voter holds nothing.
@@ -149,12 +157,17 @@
         """A message of another core machine's store, or of the registry here."""
         kind, *rest = message
         do = getattr(self, f"_on_{kind}", None)
-        if do is not None:
+        # Guards what is lost with power: memory is ahead of a disk that refuses, and a majority must not count it.
+        if do is not None and not (self.ill and kind in DISK_ONLY):
             do(peer, now, *rest)
         return self._done()
 
     def tick(self, now: float) -> list[Action]:
         """Each few hundredths of a second: what is due."""
+        if self.ill and now >= self.mend_at:
+            self.mend_at = now + MEND
+            self.out += [Save(self.keeper, whole=True)] if self.keeper.votes else []
+            self.out.append(Whole())
         self._run(now)
         if self.reading is not None and now >= self.reading["more"] and self.reading["asked"] != self.reading["whom"]:
             self._peek_more()
@@ -196,6 +209,12 @@
         """The disk refused a write: nothing that it should hold may be said any more."""
         self.ill = reason
 
+    def well(self) -> None:
+        """The disk holds all that memory does."""
+        if self.ill:
+            self.ill = ""
+            self.out.append(Note("DISK_WELL", {"node": self.me}))
+
     # As a keeper: what others' rounds ask
 
     def _handle(self, message) -> object:
@@ -438,7 +457,7 @@
                         "answers": {}, "whom": whom, "asked": few, "cell": self.keeper.cells.get(KEY, Cell())}
         for name in sorted(few - {self.me}):
             self._send(name, ["peek", self.numbers, self.reading["cell"].accepted])
-        if self.me in whom:
+        if self.me in whom and not self.ill:
             self._peeked(self._handle(Peek(KEY)), now)
 
     def _far(self, ip: str) -> tuple:
--- a/fennelpoint/system/writ/program.py
+++ b/fennelpoint/system/writ/program.py
@@ -12,7 +12,7 @@
 from fennelpoint.system.events import Event, say
 from fennelpoint.system.mesh import Mesh, ip_of, name
 from fennelpoint.system.settings import Settings
-from fennelpoint.system.writ.keeper import KEY, ROLL, Note, Save, SaveContent, Send, Store
+from fennelpoint.system.writ.keeper import KEY, ROLL, Note, Save, SaveContent, Send, Store, Whole
 
 TICK = 0.02     # s
 
@@ -61,9 +61,13 @@
                     try:
                         self._save(action)
                     except (sqlite3.Error, OSError) as error:
-                        say(Event.DISK, step=type(action).__name__, reason=error)
+                        if not self.store.ill:
+                            say(Event.DISK, step=type(action).__name__, reason=error)
+                        self.disk.undo()
                         self.store.sick(str(error))
                         return
+                case Whole():
+                    self.store.well()
 
     def _save(self, action: Save | SaveContent) -> None:
         if isinstance(action, SaveContent):
--- a/tests/system/test_ballots.py
+++ b/tests/system/test_ballots.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from fennelpoint.fleet.register import ZERO, Cell, Hello, Keeper, Rejoin, Round, Seen, handle
-from fennelpoint.system.writ.keeper import FOUNDED, KEY, Send, Store
+from fennelpoint.system.writ.keeper import FOUNDED, KEY, Save, Send, Store, Whole
 from fennelpoint.system.writ.world import configure, empty, groups_of, stand_by
 
 REGIONS = {"za": "ra", "zb": "rb", "zc": "rc", "zd": "ra", "ze": "rb"}
@@ -108,3 +108,26 @@
     (accept,) = (a.message for a in stores["a"].heard("c", promise, 0.3) if isinstance(a, Send) and a.to == "c")
     stores["c"].heard("a", accept, 0.4)
     assert stores["c"].keeper.cells[KEY].value["evac"] == ["zb"]
+
+
+def test_what_a_disk_refused_is_told_to_nobody_until_the_disk_has_taken_all_of_it() -> None:
+    """A reader that counted it would acknowledge a change that a loss of power takes back."""
+    store = Store("a", "za", REGIONS, ["a", "b", "c"], Keeper("a", 0, False, {}, {}), True, lambda digest: None,
+                  Random(1), 0.0)
+    store.tick(0.1)
+    newer = {**world("abc", rev=5), "version": 7}
+    lives = [["a", 1], ["b", 1]]
+    store.heard("b", ["prepare", 1, [3, "b"]], 0.2)
+    actions = store.heard("b", ["accept", 1, [3, "b"], newer, lives], 0.3)
+    assert isinstance(actions[0], Save)
+    store.sick("the disk is full")      # the program stops at that action
+    for message in (["peek", 2, [0, ""]], ["prepare", 3, [9, "c"]], ["hail", "c", 2], ["store", 4, "d", b"x"]):
+        assert not [a for a in store.heard("c", message, 0.4) if isinstance(a, Send)]
+    actions = store.tick(1.5)
+    assert [type(a) for a in actions[:2]] == [Save, Whole] and actions[0].whole
+    store.sick("still")
+    assert not [a for a in store.heard("c", ["peek", 5, [0, ""]], 1.6) if isinstance(a, Send)]
+    store.tick(2.6)
+    store.well()
+    (told,) = [a for a in store.heard("c", ["peek", 6, [0, ""]], 2.7) if isinstance(a, Send)]
+    assert told.message[-1]["version"] == 7
