Quotas: tenants that are thin for so many fronts draw units from one pool

Cause: with 77 fronts a tenant of 5 requests a second has 0.07 a second at each; whoever asks twice in 14 s is refused, though the tenant is far below its quota. Ruled out: deeper buckets at fronts (77 of them pass the window's bound). Change: such tenants have no parts; a front asks the reckoner for the units of each waiting try (Need, draw, units, Given), is told at once what is denied, and units end 0.5 s after their ask. Quotas say how long to wait and what rate is a customer's own (wait, own_rate), so that the regions of regulation go by denials where no front knows its part. Tests: the lending machine draws, too, with reckoners that overlap; scenario drawn; a front's draws.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-from math import inf
 from random import Random
 
 from fennelpoint import interface as api
@@ -13,7 +12,7 @@
 from fennelpoint.regulation import Regulation
 from fennelpoint.selection import LATE_MARGIN, PAUSE_FULL, REST_MOST, Selection
 from fennelpoint.state import Try
-from fennelpoint.upkeep import PERIOD_TOKEN, PUMP, Ground, Timers, allowed, part
+from fennelpoint.upkeep import PERIOD_TOKEN, PUMP, Ground, Timers, allowed
 from fennelpoint.waiting import Waiting
 
 RETRY_SHARE, RETRY_BURST = 0.1, 10.0    # further attempts a first one, saved up
@@ -28,7 +27,7 @@
         self.ground = ground = Ground(settings, Random(seed), now, Timers(settings.tick))
         self.random, self.line, self.timers, self.out = ground.random, ground.line, ground.timers, ground.out
         self.quotas, self.selection = self.QUOTAS(ground), self.SELECTION(ground)
-        self.customers, self.regulation = self.quotas.customers, Regulation(ground)
+        self.customers, self.regulation = self.quotas.customers, Regulation(ground, self.quotas.own_rate)
         self.fleet, self.crowd = self.selection.fleet, self.selection.crowd
         self.waiting = self.WAITING(ground, self.quotas, self.selection, self.regulation, self._place)
         self.barred, self.retries = False, RETRY_BURST  # nothing may go out; further attempts saved up
@@ -110,11 +109,7 @@
         queued = t.inside is None and ahead > 0.0 and c.level < ahead + ask.units
         if not queued and (self._place(t, now) or ask.request in self.line.held):
             return
-        need = ask.units + ahead  # and the s until the bucket holds its units and those that wait before it
-        rate = plan.rate * max(c.share, 0.01) if t.inside is None and plan.rate else inf
-        wait = (need + self.quotas.kept(t, now) - c.level) / rate
-        if plan.ceiling_rate and not self.quotas.stands(t, now):
-            wait = max(wait, (need - c.ceiling) / max(part(c, plan)[1], 1e-9))
+        wait = self.quotas.wait(t, ahead, now)
         margin = LATE_MARGIN * self.selection.usual[ask.cls]
         late = t.inside is False or now + max(0.0, wait) + margin > t.aim_at
         if t.inside is False and plan.rate:
--- a/fennelpoint/quotas.py
+++ b/fennelpoint/quotas.py
@@ -93,10 +93,8 @@
     def count(self, c: Customer, now: float) -> None:
         """Tell the counter what was taken from the quota, once a period, and learn what all ingresses took.
 
-        What is refused takes nothing: told as taken, it emptied stores that no one had used.  It is told to a
-        name of its own, as the shares go by all that is asked, while the customer is short here.  Then, and
-        once half of what a read granted is gone, the next read does not wait for the period.  It would hurt
-        where many are short at once and the counter can't bear three calls for one."""
+        What is refused is told to a name of its own, as shares go by all that is asked.  Then, and once half
+        of what a read granted is gone, the next read does not wait for the period."""
         if not self.settings.has_counter or c.calling is not None:
             return
         plan, period = self.settings.plans[c.plan], COUNT_PERIOD
@@ -307,6 +305,18 @@
         if c.asks and t.inside is None and inside:
             self._untold(c, now, units)
 
+    def wait(self, t: Try, ahead: float, now: float) -> float:
+        """Seconds until its customer's bucket holds its units and those that wait before it."""
+        c, plan, need = t.customer, self.settings.plans[t.customer.plan], t.ask.units + ahead
+        rate = plan.rate * max(c.share, 0.01) if t.inside is None and plan.rate else inf
+        wait = (need + self.kept(t, now) - c.level) / rate
+        if plan.ceiling_rate and not self.stands(t, now):
+            wait = max(wait, (need - c.ceiling) / max(part(c, plan)[1], 1e-9))
+        return wait
+
+    def own_rate(self, c: Customer, now: float) -> float:
+        return self.settings.plans[c.plan].rate * c.share
+
     def stands(self, t: Try, now: float) -> bool:
         """Whether the counter's word stands for its part of the ceiling; waiting tries go out all at once."""
         return t.told and t.customer.held and now <= t.good_until
--- a/fennelpoint/regulation.py
+++ b/fennelpoint/regulation.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from fennelpoint.state import Customer, Cut, Try
 from fennelpoint.upkeep import FORGET, PERIOD, PERIOD_TOKEN, Concern, Ground
 
@@ -39,8 +41,9 @@
 class Regulation(Concern):
     """Who is cut, by how much, and why; one decision holds for some steps."""
 
-    def __init__(self, ground: Ground) -> None:
+    def __init__(self, ground: Ground, own_rate: Callable[[Customer, float], float]) -> None:
         super().__init__(ground)
+        self.own_rate = own_rate    # units a second that are a customer's here
         self.active: dict[int, Customer] = {}  # those that the period looks at
         self.fit, self.work, self.period_at = Fit(), 0.0, ground.born
         self.cut, self.pressed = None, False
@@ -56,7 +59,6 @@
         self.activate(c, now)
 
     def answered(self, t: Try, now: float) -> None:
-        """A try was answered: its latency over its aim."""
         aim = self.settings.classes[t.ask.cls].aim
         t.customer.ratios.append((now - (t.aim_at - aim)) / aim)
         self.activate(t.customer, now)
@@ -80,7 +82,7 @@
                 c.ratio = RATE_MEMORY * c.ratio + (1 - RATE_MEMORY) * sum(c.ratios) / len(c.ratios)
             c.rate = RATE_MEMORY * c.rate + (1 - RATE_MEMORY) * c.sent / span
             if c.ratios or c.sent:
-                over = c.rate > self.settings.plans[c.plan].rate * c.share + 1e-9
+                over = c.rate > self.own_rate(c, now) + 1e-9
                 regions[REGIONS[over][c.ratio > 1.0]].append(c)
             ratios += c.ratios
             c.ratios, c.sent = [], 0.0
@@ -91,7 +93,7 @@
         self.pressed = bool(regions["failed"])
         if not self.pressed:
             self.cut = None
-            self._return(step)
+            self._return(step, now)
         elif self.cut is None or (self.cut.steps + 1 >= STEPS and self.afresh(regions, worst, seen)):
             self.cut = self._decide(regions, worst, rate, step)
         else:
@@ -120,12 +122,12 @@
         return Cut(takes, worst, {c.key: c.rate for c in self.active.values()},
                    {c.key for c in regions["lucky"]}, self.fit.at(rate * (1.0 - step))[0])
 
-    def _return(self, step: float) -> None:
+    def _return(self, step: float, now: float) -> None:
         """Give unused room back by worth; no rate falls below its average."""
         cut = [c for c in self.active.values() if c.cap is not None]
-        room = RETURN * step * sum(self.settings.plans[c.plan].rate * c.share for c in cut)
+        room = RETURN * step * sum(self.own_rate(c, now) for c in cut)
         for c in sorted(cut, key=lambda c: (-c.worth, c.key)):
-            rate = self.settings.plans[c.plan].rate * c.share
+            rate = self.own_rate(c, now)
             give = min(room, MOST_CUT * RETURN * step * rate)
             c.cap, room = max(c.cap, c.rate) + give, room - give
             c.cap = c.cap if c.cap < rate else None
--- a/fennelpoint/standins/core_world.py
+++ b/fennelpoint/standins/core_world.py
@@ -7,6 +7,8 @@
     backend s1 svc za                       one that beats every 1.5 s at core machines in turn
     at 2 put 5 on 0 via a1                  things that happen, at a second; a line without `at` is for then
     at 3 expect put 5 200
+    rate 3                                  tenants have this rate and burst, from the next version on
+    draw fa t1 2                            a front asks for units of a tenant that has no part there
 
 Times are seconds.  Messages go through the very frames that processes send.  Rules are checked all the time by what
 is acted on, not by what deciders say: parts in use add up to the whole, one reckons at a time, a front's version
@@ -67,6 +69,7 @@
     tether: Tether | None = None
     version: int = 0
     asked: dict[str, float] = field(default_factory=dict)   # a second, by tenant
+    drawn: dict[str, list[int]] = field(default_factory=dict)   # units that came, and that were denied, by tenant
 
 
 @dataclass(eq=False)
@@ -99,6 +102,7 @@
         self.replies: dict[int, Reply] = {}
         self.acked: dict[int, float] = {}       # versions, and when
         self.started = False
+        self.rate = 20          # of a tenant's quota, and its burst
         self.both = 0.0         # s that two have reckoned
         self.marked = ""        # who reckoned when a line last named the reckoner
         self.sent: dict[str, int] = {}          # bytes between regions, by kind of message
@@ -229,6 +233,10 @@
                     if version < front.version:
                         raise Broken(f"{self.now:.2f}: {front.ip} goes back from {front.version} to {version}")
                     front.version = version
+                case span.Units(given, denied, until) if self.now <= until:
+                    for place, told in enumerate((given, denied)):
+                        for tenant, units in told.items():
+                            front.drawn.setdefault(tenant, [0, 0])[place] += units
                 case span.Hold(held, _):
                     front.tether.ready = held
                     self._span(front, front.tether.say(self.now))
@@ -249,7 +257,8 @@
             {"host": "h.example", "rule_set": [
                 {"name": f"r{mark}", "kind": "idempotent", "match_criteria": {"path_prefix": f"/{mark or 'r'}/"},
                  "route_action": {"service": "svc", "request_timeout_s": 1}}]}],
-            "tenants": [{"name": t, "api_keys": [f"k-{t}"], "rate_per_s": 20, "burst_size": 20} for t in TENANTS],
+            "tenants": [{"name": t, "api_keys": [f"k-{t}"], "rate_per_s": self.rate, "burst_size": self.rate}
+                        for t in TENANTS],
             "clusters": [{"name": "svc", "cold_start_s": 3, "cold_rate_s": 5}]}
         self.call("PUT", "/api/configuration", value, via, label or f"put {version}")
 
@@ -408,6 +417,12 @@
                 self.backends[id].state, self.backends[id].at = "gone", self.now
             case ["silence", id]:
                 self.backends[id].state = "silent"
+            case ["rate", rate]:
+                self.rate = int(rate)
+            case ["draw", ip, tenant, units]:
+                front = self.fronts[ip]
+                front.drawn.pop(tenant, None)
+                self._span(front, front.tether.draw({tenant: int(units)}, self.now))
             case ["claim", ip, term]:   # it holds the duty, as by voters that none of the others goes by
                 desk = self.cores[ip].desk
                 desk.duty.term, desk.duty.held_until, desk.duty.claimed_at = (int(term), ip), self.now + 1.0, self.now
@@ -454,6 +469,8 @@
                 return state == ("lost" if b.lost else b.told.state)
             case ["parts", ip, tenant, least, most]:
                 return int(least) <= self.fronts[ip].tether.parts.quotas.get(tenant, 0) <= int(most)
+            case ["drawn", ip, tenant, units, denied]:
+                return self.fronts[ip].drawn.get(tenant, [0, 0]) == [int(units), int(denied)]
             case ["cold", ip, backend, least, most]:
                 return int(least) <= self.fronts[ip].tether.parts.cold.get(backend, 0) <= int(most)
             case ["reckons", word]:
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -49,7 +49,6 @@
 
     @property
     def usable(self) -> bool:
-        """Whether the roster lets us send to it."""
         return self.entry.state is BackendState.READY
 
     def recall(self, told: list[float] | None, now: float) -> None:
--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -56,6 +56,7 @@
         self.enrolling = 0.0
         self.waiting_in: set[str] = set()       # fronts that wait to be enrolled
         self.rates: dict[str, float] = {}       # of tenants, by the configuration
+        self.bursts: dict[str, float] = {}
         self.cold_by: dict[str, tuple[float, float]] = {}   # s and tries a second of services' cold backends
         self.restored: dict[str, float] = {}    # zones that were taken back, and when
         self.asks: list[tuple[str, float, float]] = []   # wait for the next read
@@ -313,7 +314,8 @@
         """A front that can't reach us speaks by way of another; the answers go back by the same way."""
         front = name("span", ip)
         self.helpers[front] = peer
-        do = {"front": self._on_front, "ask": self._on_ask, "need": self._on_need}.get(message[0])
+        do = {"front": self._on_front, "ask": self._on_ask, "need": self._on_need,
+              "draw": self._on_draw}.get(message[0])
         if do is not None:
             do(front, now, *message[1:])
 
@@ -434,6 +436,28 @@
         if not before and self.steward.settled(now):
             self._call_fronts(now)
 
+    def _on_draw(self, peer: str, now: float, stamp: float, needs: dict) -> None:
+        """A front asks for units of tenants that have no part there."""
+        if self.steward is not None:
+            self._on_drawn(name("roll", self.me), now, ip_of(peer), stamp, needs)
+        elif self.duty.holder is not None:
+            self.send(name("roll", self.duty.holder[1]), ["drawn", ip_of(peer), stamp, needs])
+
+    def _on_drawn(self, peer: str, now: float, ip: str, stamp: float, needs: dict) -> None:
+        if self.steward is None or not self.duty.holds(now) or now - self.read_at > HOLD:
+            return
+        drawn = self.steward.draw(ip, needs, self.rates, self.bursts, self.bounds.quota_slack, now)
+        if drawn is None:
+            return
+        answer = ["units", ip, stamp, self.steward.term, *drawn]
+        if ip_of(peer) == self.me:
+            self._hand_on(answer)
+        else:
+            self.send(peer, answer)
+
+    def _on_units(self, peer: str, now: float, *rest: object) -> None:
+        self._hand_on(["units", *rest])
+
     def _hand_on(self, answer: list) -> None:
         kind, ip, *rest = answer
         self.send(name("span", ip), [kind, *rest])
@@ -462,6 +486,7 @@
             value = versions.json.loads(zlib.decompress(data))
             self.rates = {t["name"]: float(t.get("rate_per_s") or 0.0) for t in value.get("tenants", ())
                           if t.get("rate_per_s")}
+            self.bursts = {t["name"]: float(t.get("burst_size") or 0.0) for t in value.get("tenants", ())}
             self.cold_by = {c["name"]: (float(c.get("cold_start_s") or 0.0), float(c.get("cold_rate_s") or 0.0))
                             for c in value["clusters"]}
 
--- a/fennelpoint/system/roll/office.py
+++ b/fennelpoint/system/roll/office.py
@@ -7,19 +7,17 @@
 
 import zlib
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 from result import Err, Result
 
 from fennelpoint.system import versions
-from fennelpoint.system.roll.duty import SPAN
-from fennelpoint.system.roll.view import DRAINING
+from fennelpoint.system.roll.duty import SPAN, Duty
+from fennelpoint.system.roll.steward import Steward
+from fennelpoint.system.roll.view import DRAINING, Backends, Members
 from fennelpoint.system.roll.waits import Held, fault
 from fennelpoint.system.web import Asking, Reply
 
-if TYPE_CHECKING:
-    from fennelpoint.system.roll.desk import Desk
-
 WAIT_CHANGE = 3.0   # s for the store
 SNAPSHOT = 1        # schema of a snapshot
 KEPT = ("version", "past", "evac")      # of the agreed value, what a snapshot holds beside the configuration
@@ -32,10 +30,31 @@
     return check(value)
 
 
+class Behind(Protocol):
+    """What the office needs of the desk that it is a part of."""
+
+    me: str
+    port: int
+    store: str
+    tokens: int
+    calls: dict[int, Held]
+    world: dict
+    contents: dict[str, bytes]
+    links: set[str]
+    members: Members
+    backends: Backends
+    duty: Duty
+    steward: Steward | None
+
+    def answer(self, asking: Asking, reply: Reply) -> None: ...
+    def send(self, to: str, message: list) -> None: ...
+    def with_content(self, digest: str, then: Callable[[], None]) -> Any: ...
+
+
 class Office:
     """Operators' calls at one core machine."""
 
-    def __init__(self, desk: Desk) -> None:
+    def __init__(self, desk: Behind) -> None:
         self.desk = desk
 
     def _wait(self, asking: Asking, now: float, then: Callable[[list], None]) -> int:
--- a/fennelpoint/system/roll/steward.py
+++ b/fennelpoint/system/roll/steward.py
@@ -19,6 +19,9 @@
 WHOLE = 1000        # parts of a quota or of the budget's slack
 GIVEN = 985         # of these at most lent at a time: rounding and clocks stay inside the whole
 LEAST_MOVE = 15     # of these: a smaller change is not worth a message
+DRAW_LIFE = 0.5     # s that units of the pool are good at the front, from the sending of its ask
+THIN, THICK = 2.0, 3.0  # a second of a quota for each front: below, they draw from its pool; above, they hold parts
+POOL_BURST = 0.5    # of the slack that the rules leave beside a burst, kept in the pool
 NOISE = 0.25        # of a part: asks of seconds say no more than this, and what is taken back is lost
 
 
@@ -59,12 +62,23 @@
         return most
 
 
+@dataclass(slots=True)
+class Pool:
+    """What is left of one tenant's quota beside parts that are held: a bucket, drawn from by the unit."""
+
+    level: float
+    filled: float
+    part: float = 0.0       # of the quota
+    part_at: float = -1e9   # when that was last reckoned
+
+
 class Steward:
     """The reckoner of one term."""
 
     def __init__(self, term: list, fronts: Iterable[str], now: float) -> None:
         self.term, self.since, self.number = term, now, 0
         self.fronts: dict[str, Front] = {ip: Front(ip) for ip in fronts}
+        self.pools: dict[str, Pool] = {}    # by tenant, of those whose fronts draw
 
     def enrol(self, fronts: Iterable[str]) -> None:
         """These may hold parts from now on: by a value that is agreed, so that whoever comes after knows."""
@@ -107,6 +121,46 @@
         front.grants = [g for g in front.grants if now < g.ends]
         return self._lend(front, rates, cold, now)
 
+    def open(self, now: float) -> bool:
+        """Whether nobody draws from the pool of a reckoner before us: its words count no more, or it has ended."""
+        return now - self.since > HOLD or all(f.known for f in self.fronts.values())
+
+    def _thin(self, tenant: str, rate: float, alive: int, now: float) -> bool:
+        """Whether its fronts draw; whoever begins to reckon has nothing in the pool."""
+        drawn = tenant in self.pools
+        draws = rate < (THICK if drawn else THIN) * alive
+        if draws and not drawn:
+            self.pools[tenant] = Pool(0.0, now)
+        elif drawn and not draws:
+            del self.pools[tenant]
+        return draws
+
+    def draw(self, ip: str, needs: Mapping[str, float], rates: Mapping[str, float], bursts: Mapping[str, float],
+             slack: float, now: float) -> tuple[dict, dict] | None:
+        """Units of the pool for a front, and what is not there; None: not from here, or not now.
+
+        Bound: a unit is used within `DRAW_LIFE` of its ask, so a window's use is at most what is drawn in one that
+        much longer: a burst with half of the slack, and the rate for a tenth of a window more, as the rules leave."""
+        if (front := self.fronts.get(ip)) is None or not front.known or not self.open(now):
+            return None
+        given, denied = {}, {}
+        for tenant, units in needs.items():
+            if (rate := rates.get(tenant, 0.0)) <= 0.0 or (pool := self.pools.get(tenant)) is None:
+                continue
+            if now - pool.part_at > 0.1:
+                lent = sum(f.out("quotas", tenant, now) for f in self.fronts.values())
+                pool.part, pool.part_at = max(0, WHOLE - lent) / WHOLE, now
+            most = (bursts.get(tenant, 0.0) + POOL_BURST * slack) * pool.part
+            pool.level = min(most, pool.level + rate * pool.part * (now - pool.filled))
+            pool.filled = now
+            got = min(int(pool.level), units)
+            pool.level -= got
+            if got:
+                given[tenant] = got
+            if got < units:
+                denied[tenant] = units - got
+        return given, denied
+
     def told(self, now: float) -> dict:
         """For operators: the term, and of each front what it asked a second and what it may be using."""
         fronts = {}
@@ -141,6 +195,8 @@
         alive = [f for f in self.fronts.values() if now - f.heard < ALIVE]
         quotas = {}
         for tenant, rate in rates.items():
+            if self._thin(tenant, rate, len(alive), now):
+                continue
             want = self._share(front, alive, tenant, rate)
             part = min(int(GIVEN * want), self._free("quotas", tenant, GIVEN, front, now))
             if part > 0:
--- a/fennelpoint/system/span/decide.py
+++ b/fennelpoint/system/span/decide.py
@@ -27,6 +27,7 @@
 FRESH = 1.0         # s of an own part that a process has saved up when it begins
 ADVICE, MOST_ADVICE = 0.15, 0.5     # s after which a refused client is told to come again: least and most
 OVER_ADVICE = 3.0   # s, for a quota that is used up
+DENIED, FORGET_NEED = 2.0, 5.0  # s that one counts as over its quota after a denial; that an ask is remembered
 
 
 @dataclass(slots=True)
@@ -43,6 +44,24 @@
 
     shares: dict[int, float]
     slack: float            # further tries that this front may send in a budget's window, beside those by its ratio
+    pooled: bool = False    # one that is not told draws from its pool
+
+
+@dataclass(slots=True)
+class Need:
+    """An action: a try of a customer without a part of its own waits for units of the pool."""
+
+    customer: int
+    units: float
+
+
+@dataclass(slots=True)
+class Given:
+    """Units of the pool by customer, to be used until then, and those that were asked for and are not there."""
+
+    units: dict[int, float]
+    denied: dict[int, float]
+    until: float
 
 
 @dataclass(slots=True)
@@ -76,12 +95,81 @@
     def __init__(self, ground: Ground) -> None:
         super().__init__(ground)
         self.shares: dict[int, float] = {}
-        self.lent = False
-
-    def lend(self, shares: dict[int, float], now: float) -> None:
+        self.lent = self.pools = False
+        self.given: dict[int, deque] = {}       # units of the pool, by customer: until when, and how many
+        self.needed: dict[int, float] = {}      # tries that units were asked for, and when
+        self.denied_at: dict[int, float] = {}   # when the pool last had none, by customer
+
+    def thin(self, c: Customer) -> bool:
+        """Whether it has no part of its own here: too many fronts share too little, and each try asks the pool."""
+        return self.pools and c.share == 0.0 and self.settings.plans[c.plan].rate > 0.0
+
+    def pooled(self, key: int, now: float) -> float:
+        """Units of the pool that are here."""
+        held = self.given.get(key)
+        while held and held[0][0] < now:
+            held.popleft()
+        return sum(units for _, units in held) if held else 0.0
+
+    def room(self, t: Try, now: float) -> bool:
+        if not self.thin(t.customer):
+            return super().room(t, now)
+        return t.inside is None and self.pooled(t.customer.key, now) >= t.ask.units
+
+    def take(self, t: Try, inside: bool, now: float) -> None:
+        super().take(t, inside, now)
+        self.needed.pop(t.ask.request, None)
+        left = t.ask.units if inside and self.thin(t.customer) else 0.0
+        held = self.given.get(t.customer.key)
+        while left > 0.0 and held:
+            until, units = held.popleft()
+            if units > left:
+                held.appendleft((until, units - left))
+            left -= units
+
+    def wait(self, t: Try, ahead: float, now: float) -> float:
+        return 0.0 if self.thin(t.customer) else super().wait(t, ahead, now)
+
+    def own_rate(self, c: Customer, now: float) -> float:
+        """Of one in the pool no front knows its part: it is over its quota where the pool has denied it lately."""
+        if not self.thin(c):
+            return super().own_rate(c, now)
+        return 0.0 if now - self.denied_at.get(c.key, -inf) < DENIED else self.settings.plans[c.plan].rate
+
+    def over(self, t: Try) -> bool:
+        """Whether it was refused because its tenant asks for more than its quota."""
+        if self.thin(t.customer):
+            return t.inside is False
+        return not t.charged and self.settings.plans[t.customer.plan].rate > 0.0 and t.customer.level < t.ask.units
+
+    def need(self, t: Try, now: float) -> bool:
+        """Whether units are to be asked for it: once."""
+        if t.charged or t.ask.request in self.needed or not self.thin(t.customer):
+            return False
+        self.needed[t.ask.request] = now
+        while self.needed and now - next(iter(self.needed.values())) > FORGET_NEED:
+            del self.needed[next(iter(self.needed))]    # guards the memory: its client has gone
+        return True
+
+    def give(self, event: Given, now: float) -> list[Try]:
+        """Units have come; the tries for which there are none, the cheapest and latest ones."""
+        for key, units in event.units.items():
+            self.given.setdefault(key, deque()).append((event.until, units))
+        out = []
+        for key, units in event.denied.items():
+            self.denied_at[key] = now
+            waiting = [t for t in self.line.held.values() if t.customer.key == key and t.ask.request in self.needed]
+            for t in sorted(waiting, key=lambda t: (t.worth, -t.ask.request)):
+                if units <= 0.0:
+                    break
+                units, t.inside = units - t.ask.units, False
+                out.append(t)
+        return out
+
+    def lend(self, shares: dict[int, float], pools: bool, now: float) -> None:
         """What is taken back is gone at once; what is given fills with time."""
         fresh = bool(shares) and not self.lent
-        self.lent, self.shares = self.lent or fresh, shares
+        self.lent, self.shares, self.pools = self.lent or fresh, shares, pools
         for c in self.customers.values():
             if fresh:   # nobody else was lent our part while we started; a second of it at most
                 c.filled = max(self.ground.born, now - FRESH)
@@ -172,14 +260,15 @@
 
     def hold(self, t: Try, now: float) -> None:
         super().hold(t, now)
+        if self.quotas.need(t, now):
+            self.out.append(Need(t.customer.key, t.ask.units))
         if not t.reached and t.ask.request in self.line.held:
             t.last = min(t.last, t.came_at + HELD_PART * self.settings.classes[t.ask.cls].aim)
             self.out += self.timers.wake(PUMP_TOKEN, max(now, t.last), now)
 
     def refuse(self, t: Try, now: float, wait: float) -> None:
-        plan = self.settings.plans[t.customer.plan]
         self.quotas.fill(t.customer, now)
-        over = not t.charged and plan.rate > 0.0 and t.customer.level < t.ask.units
+        over = self.quotas.over(t)
         # One whose tenant asks for more than its quota has no room for as long as that lasts; for want of a lease, a
         # part or a backend a client does well to come again soon.
         super().refuse(t, now, max(wait, OVER_ADVICE) if over else min(MOST_ADVICE, max(wait, ADVICE)))
@@ -196,7 +285,7 @@
         super().__init__(settings, seed, now)
         self.budgets: dict[str, Budget] = {}
         self.ratio, self.slack, self.span = 0.2, 0.0, 10.0  # of the budget, the last two of this front's part
-        self.on |= {Catalogue: self._catalogue, Shares: self._lent, Places: self._placed}
+        self.on |= {Catalogue: self._catalogue, Shares: self._lent, Places: self._placed, Given: self._given}
 
     # What the core tells
 
@@ -207,7 +296,12 @@
 
     def _lent(self, event: Shares, now: float) -> None:
         self.slack = event.slack
-        self.quotas.lend(event.shares, now)
+        self.quotas.lend(event.shares, event.pooled, now)
+
+    def _given(self, event: Given, now: float) -> None:
+        for t in self.quotas.give(event, now):
+            self.waiting.refuse(t, now, OVER_ADVICE)
+        self.waiting.pump(now)
 
     def _placed(self, event: Places, now: float) -> None:
         self.selection.take(event)
--- a/fennelpoint/system/span/host.py
+++ b/fennelpoint/system/span/host.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from fennelpoint import interface as api
 from fennelpoint.net.backends import Backends, Exchange
 from fennelpoint.net.host import Host
+from fennelpoint.system.span.decide import Need
 
 KEPT_PART = 0.6     # of the time that a backend keeps an idle connection
 OVER = 429
@@ -45,6 +48,11 @@
 class SystemHost(Host):
     """Gives a backend's own refusal or failure back unchanged where nothing better comes."""
 
+    def __init__(self, *arguments: object) -> None:
+        self.need: Callable[[int, float], None] = lambda customer, units: None
+        super().__init__(*arguments)
+        self._do[Need] = lambda a: self.need(a.customer, a.units)
+
     def _refuse(self, refuse: api.Refuse) -> None:
         if (ticket := self.tickets.get(refuse.request)) is not None:
             if ticket.last is not None:
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -19,10 +19,10 @@
 from fennelpoint.system.roll.steward import WHOLE
 from fennelpoint.system.roll.view import DRAINING, GONE
 from fennelpoint.system.settings import Settings, address
-from fennelpoint.system.span.decide import OVER_ADVICE, Catalogue, Decider, Places, Shares
+from fennelpoint.system.span.decide import OVER_ADVICE, Catalogue, Decider, Given, Places, Shares
 from fennelpoint.system.span.host import SystemBackends, SystemHost
 from fennelpoint.system.span.reader import SystemReader
-from fennelpoint.system.span.tether import Apply, Hold, Lend, Refresh, Send, Tether
+from fennelpoint.system.span.tether import Apply, Hold, Lend, Refresh, Send, Tether, Units
 from fennelpoint.system.versions import compile_version
 from fennelpoint.system.web import Asking, Reply, Web
 
@@ -33,6 +33,7 @@
 CONNECT = 0.4       # s for a connection to a backend
 OVER_PART, MORE_PART = 0.9, 0.5     # of a quota's overshoot and slack, used
 SLACK_PART = 0.9    # of the budget's slack, used
+GATHER = 0.003      # s in which asks for units go together
 SHARERS = 3.0       # fronts that are likely to send to one backend
 
 
@@ -50,6 +51,8 @@
         self.backends = SystemBackends(loop, room.upstream, CONNECT, 0.0, self.budget)
         self.host = SystemHost(loop, given, self.random.getrandbits(32), self.backends, None, self.budget, Decider)
         self.host.gate = self.allows
+        self.host.need = self.need
+        self.needs: dict[str, int] = {}         # units to draw, by tenant, with the next word
         self.reader = SystemReader(self.grown, self.random)
         self.reader.made.append(given.classes[0])
         grace = bounds.grace_period_s
@@ -107,6 +110,21 @@
                     self._hold(held, reason)
                 case Lend():
                     self._lend()
+                case Units(given, denied, until):
+                    plans, offset = self.reader.plans, self.host.clock.offset
+                    self.host.post(Given({plans[t]: n for t, n in given.items() if t in plans},
+                                         {plans[t]: n for t, n in denied.items() if t in plans}, until + offset))
+
+    def need(self, customer: int, units: float) -> None:
+        """Units of a tenant without a part here: asked for together with all others of this moment."""
+        if not self.needs:
+            self.loop.call_later(GATHER, self._draw)
+        tenant = self.reader.holders[customer].name
+        self.needs[tenant] = self.needs.get(tenant, 0) + int(units)
+
+    def _draw(self) -> None:
+        needs, self.needs = self.needs, {}
+        self.carry_out(self.tether.draw(needs, time.monotonic()))
 
     def _hold(self, held: bool, reason: str) -> None:
         now = time.monotonic()
@@ -198,7 +216,7 @@
         parts, bounds = self.tether.parts, self.settings.rule_bounds
         plans, slack = self.reader.plans, SLACK_PART * bounds.budget_slack * parts.slack / WHOLE
         shares = {plans[tenant]: part / WHOLE for tenant, part in parts.quotas.items() if tenant in plans}
-        self.host.post(Shares(shares, slack))
+        self.host.post(Shares(shares, slack, parts.number > 0))
         self._place(time.monotonic())
 
     # Start and stop
--- a/fennelpoint/system/span/tether.py
+++ b/fennelpoint/system/span/tether.py
@@ -11,7 +11,7 @@
 
 from fennelpoint.system.actions import Send
 from fennelpoint.system.mesh import ip_of, name
-from fennelpoint.system.roll.steward import LIFE
+from fennelpoint.system.roll.steward import DRAW_LIFE, LIFE
 from fennelpoint.system.roll.view import Backends, Told
 
 RENEW = 0.5         # s between asks
@@ -58,6 +58,15 @@
     """Go by these parts from now on; they are in `Tether.parts`."""
 
 
+@dataclass(slots=True)
+class Units:
+    """Units of quotas that were drawn, by tenant, good until then; and those that are not there."""
+
+    given: dict[str, int]
+    denied: dict[str, int]
+    until: float
+
+
 @dataclass(slots=True)
 class Tether:
     """What one front holds."""
@@ -177,7 +186,7 @@
     def _on_pass(self, peer: str, now: float, message: list) -> None:
         """Another front asks us to pass a word on: we add no trust, as it carries its own stamp."""
         reached = [p for p in (name("roll", ip) for ip in self.order()) if p in self.up]
-        if reached and not self.cut and message[0] in ("front", "ask", "need"):
+        if reached and not self.cut and message[0] in ("front", "ask", "need", "draw"):
             self._send(reached[0], ["pass", ip_of(peer), message])
 
     def _on_passed(self, peer: str, now: float, ip: str, message: list) -> None:
@@ -214,6 +223,19 @@
             self.out.append(Hold(False, "no core machine answers"))
         return self._done()
 
+    def draw(self, needs: dict[str, int], now: float) -> list:
+        """Ask for units of tenants that have no part here."""
+        reached = [p for p in (name("roll", ip) for ip in self.order()) if p in self.up]
+        if self.helper and self.cut:
+            self._send(self.helper, ["pass", ["draw", now, needs]])
+        elif reached:
+            self._send(reached[0], ["draw", now, needs])
+        return self._done()
+
+    def _on_units(self, peer: str, now: float, stamp: float, term: list, given: dict, denied: dict) -> None:
+        if tuple(term) >= tuple(self.fence):
+            self.out.append(Units(given, denied, stamp + DRAW_LIFE))
+
     def say(self, now: float) -> list:
         """Tell at once that something of ours has changed."""
         self._ask([p for p in (name("roll", ip) for ip in self.order()) if p in self.up][:2], now)
--- a/fennelpoint/upkeep.py
+++ b/fennelpoint/upkeep.py
@@ -81,7 +81,7 @@
     parts: int = 1          # processes that are this ingress
 
     @property
-    def blind(self) -> float:   # to others' work
+    def blind(self) -> float:
         return HERD + (1.0 - HERD) * max(0.0, 1.0 - SEES / self.settings.ingresses)
 
 
--- a/fennelpoint/waiting.py
+++ b/fennelpoint/waiting.py
@@ -22,23 +22,18 @@
         self.quotas, self.selection, self.regulation, self.place = quotas, selection, regulation, place
 
     def hold(self, t: Try, now: float) -> None:
-        """Keep it until it may be sent, or until its aim or its client can't be met any more.
-
-        What no backend has had is ended before half of its time is up: its client may try elsewhere."""
+        """Keep it until it may be sent, or its aim is out of reach; half of its time if no backend had it."""
         margin = LATE_MARGIN * self.selection.usual[t.ask.cls]
         t.last = min(t.aim_at - margin, t.ends, inf if t.reached else t.half)
         self.line.hold(t)
         self.out += self.timers.wake(PUMP_TOKEN, min(self.due(t, now), t.last), now)
 
     def due(self, t: Try, now: float) -> float:
-        """When to look at a held try again: not before its bucket, filled by time alone, can hold its units.
-
-        Guards the CPU: looking every PUMP at what only waits for its quota was half of all events."""
+        """When to look at a held try again; guards the CPU: not before its bucket can hold its units."""
         c, plan, soon = t.customer, self.settings.plans[t.customer.plan], max(now + PUMP, t.not_before)
         if t.charged or t.inside is not None or not plan.rate or plan.over_worth > 0.0:
             return soon
-        missing = t.ask.units + self.quotas.kept(t, now) - c.level
-        return max(soon, c.filled + missing / (plan.rate * max(c.share, 0.01)))
+        return max(soon, c.filled + self.quotas.wait(t, 0.0, now))
 
     def pump(self, now: float) -> None:
         """Release held tries, the highest worth first; end those that can't make it any more."""
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -5,10 +5,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from fennelpoint.system.roll.duty import SPAN, Duty
-from fennelpoint.system.roll.steward import LIFE, WHOLE, Steward
-from fennelpoint.system.span.tether import Tether
+from fennelpoint.system.roll.steward import DRAW_LIFE, HOLD, LIFE, POOL_BURST, WHOLE, Steward
+from fennelpoint.system.span.tether import Tether, Units
 
 FRONTS, RATES = ("f1", "f2", "f3"), {"t1": 20.0, "t2": 3.0}
+BURST, SLACK, WINDOW = 4.0, 20.0, 5.0
 COLD = {"s1": (11, "ra")}
 
 
@@ -21,6 +22,8 @@
         self.fronts: dict[str, Tether] = {}
         self.sent: list[tuple[str, int, list]] = []     # grants on their way
         self.steward = Steward([1, "a"], FRONTS, self.now)
+        self.before: tuple[Steward, float] | None = None    # the reckoner before, and until when it may lend
+        self.used: list[tuple[float, int]] = []             # units of t2 from the pool
         for ip in FRONTS:
             self._start(ip)
 
@@ -42,6 +45,28 @@
             self.sent.append((ip, self.lives[ip], [self.now, self.steward.term, grant.number,
                                                    None if same else grant.pack()]))
 
+    @rule(ip=st.sampled_from(FRONTS), units=st.integers(1, 30), late=st.sampled_from([0.0, 0.3, 0.6]),
+          old=st.booleans())
+    def draw(self, ip: str, units: int, late: float, old: bool) -> None:
+        """A front asks the pool, at whoever reckons or did so before, and uses what comes in time."""
+        steward, until = self.before if old and self.before is not None else (self.steward, self.now)
+        if self.now > until:
+            return
+        drawn = steward.draw(ip, {"t2": units}, RATES, {"t2": BURST}, SLACK, self.now)
+        if drawn is None:
+            return
+        given, denied = drawn
+        assert given.get("t2", 0) + denied.get("t2", 0) in (0, units)
+        if "t2" in steward.pools:
+            lent = sum(f.out("quotas", "t2", self.now) for f in steward.fronts.values())
+            assert steward.pools["t2"].part <= (WHOLE - lent) / WHOLE + 0.05
+        front = self.fronts[ip]
+        front.out.clear()
+        front._on_units("roll@a", self.now + late, self.now, steward.term, given, denied)
+        for told in front.out:
+            if isinstance(told, Units) and self.now + late <= told.until:
+                self.used.append((self.now + late, told.given.get("t2", 0)))
+
     @precondition(lambda self: self.sent)
     @rule(which=st.integers(0, 50), twice=st.booleans())
     def arrive(self, which: int, twice: bool) -> None:
@@ -70,6 +95,7 @@
     def another(self) -> None:
         """The reckoner is gone, and another one begins; nothing of what it knew is left."""
         self.term += 1
+        self.before = (self.steward, self.now + HOLD)
         self.steward = Steward([self.term, "b"], FRONTS, self.now)
 
     @invariant()
@@ -80,6 +106,12 @@
         assert sum(p.cold.get("s1", 0) for p in parts) <= 11
         assert sum(p.slack for p in parts) <= WHOLE
 
+    @invariant()
+    def windows_hold(self) -> None:
+        most = BURST + POOL_BURST * SLACK + RATES["t2"] * (WINDOW + DRAW_LIFE)
+        for begin, _ in self.used[-40:]:
+            assert sum(units for at, units in self.used if begin <= at < begin + WINDOW) <= most
+
 
 class Holding(RuleBasedStateMachine):
     """Five machines that want one duty, with grants that are lost or late, and restarts that forget."""
--- a/tests/system/test_span.py
+++ b/tests/system/test_span.py
@@ -11,7 +11,7 @@
 from fennelpoint.net.backends import Exchange
 from fennelpoint.net.driver import Clock
 from fennelpoint.net.server import BadRequest, Reply
-from fennelpoint.system.span.decide import HELD_PART, Catalogue, Decider, Places, Shares
+from fennelpoint.system.span.decide import HELD_PART, Catalogue, Decider, Given, Need, Places, Shares
 from fennelpoint.system.span.host import SystemBackends
 from fennelpoint.system.span.reader import SystemReader
 from fennelpoint.system.versions import Version
@@ -120,7 +120,7 @@
     def tell(self, event) -> list:
         made = self.one.handle(event, self.now)
         self.out += made
-        return [a for a in made if isinstance(a, api.Send | api.Refuse | api.Fail)]
+        return [a for a in made if isinstance(a, api.Send | api.Refuse | api.Fail | Need)]
 
     def ask(self, write: bool = False) -> list:
         self.number += 1
@@ -197,6 +197,32 @@
     assert refused.over and refused.retry_after >= 3.0      # told at once, and when to come back
 
 
+def test_one_without_a_part_draws_from_the_pool_by_the_try() -> None:
+    front = Front(share=0.5, rate=10.0)
+    front.tell(Shares({}, 0.0, pooled=True))
+    (need,) = front.ask()
+    (other,) = front.ask()
+    assert need == other == Need(1, 1.0)
+    sent = front.tell(Given({1: 1.0}, {}, front.now + 0.5))
+    assert [type(a) for a in sent] == [api.Send]
+    (refused,) = front.tell(Given({}, {1: 1.0}, front.now + 0.5))
+    assert refused.over and refused.retry_after >= 3.0      # told at once
+    front.ask()
+    front.now += 1.0
+    assert not [a for a in front.tell(Given({1: 9.0}, {}, front.now - 0.1)) if isinstance(a, api.Send)]     # too late
+    front.tell(Given({1: 2.0}, {}, front.now + 0.5))
+    front.now += 0.6
+    (need,) = [a for a in front.ask() if isinstance(a, Need)]   # what is left over is not kept
+
+
+def test_a_draw_that_nobody_answers_ends_within_a_part_of_its_aim() -> None:
+    front = Front(share=0.5, rate=10.0)
+    front.tell(Shares({}, 0.0, pooled=True))
+    front.ask()
+    (refused,) = front.wait(HELD_PART + 0.01)
+    assert isinstance(refused, api.Refuse) and not refused.over and refused.retry_after <= 0.5
+
+
 def test_what_has_no_room_is_told_within_a_part_of_its_aim() -> None:
     front = Front(cold={"b1": (200.0, 0), "b2": (200.0, 0)})
     assert front.ask() == []
--- a/tests/test_concerns.py
+++ b/tests/test_concerns.py
@@ -56,7 +56,8 @@
 
 
 def test_regulation_cuts_who_is_over_its_quota_when_another_fails():
-    quotas, regulation = Quotas(g := ground()), Regulation(g)
+    quotas = Quotas(g := ground())
+    regulation = Regulation(g, quotas.own_rate)
     failing = quotas.customer(api.Request(1, SAFE, HARD, 1, 4.0, 1.0, 2.0, 0.0), 100.0)
     lucky = quotas.customer(api.Request(2, SAFE, HARD, 2, 4.0, 1.0, 2.0, 0.0), 100.0)
     regulation.sent(failing, 0.5, 0.1, 100.0)
@@ -72,7 +73,8 @@
 
 
 def test_what_waits_goes_by_worth_and_ends_when_its_aim_is_out_of_reach():
-    quotas, selection, regulation = Quotas(g := ground()), Selection(g), Regulation(g)
+    quotas, selection = Quotas(g := ground()), Selection(g)
+    regulation = Regulation(g, quotas.own_rate)
     placed, full = [], True
 
     def place(t: Try, now: float) -> bool:
