--- a/fennelpoint/cli.py
+++ b/fennelpoint/cli.py
@@ -397,5 +397,15 @@
         sys.exit(1)
 
 
+@demo.command("system")
+def demo_system() -> None:
+    """The whole load balancer: three core machines, four fronts; a drain, kills, and the way back."""
+    from fennelpoint.standins.system_demo import play
+
+    told = _play(play(click.echo))
+    if told is not None and told[1]:
+        sys.exit(1)
+
+
 if __name__ == "__main__":
     main()
