Store: rounds of many machines keep out of each other's way

Cause: on the grown neva (12 core machines, 20 ms) nothing was served: version 2 agreed 3.5 s late, its operator never answered, no reckoner began. Each machine added a stand-by every half second while the one before still waited; lost rounds began anew after 15 to 90 ms, less than a round takes; a reader that saw a change half way began a round of its own; and the call for a term's number was made anew each 0.6 s, which made the line longer. Ruled out: processors (0.02 to 0.04 of 0.279 in use), disks. Change: one own change at a time; pauses double with each lost round; readers look again three times, 40 ms apart, before a round; the call for a term waits for its answer.

--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -23,7 +23,7 @@
 TTL = 2.0           # s that clients may hold an answer
 WAIT_DRAIN = 0.9    # s for a majority to hold a drain
 COLD_TILL_HEARD = 1.6   # beats that a backend off the disk counts as cold at most
-LEAD_AGAIN = 0.6    # s for the store to number a term
+LEAD_AGAIN = 3.8    # s for the store to number a term: it tells before, unless it has ended
 GOSSIP = 0.5        # s between words on who was heard
 COLD_PART = 0.9     # of what a cold backend bears, lent out
 READ_AGAIN = 0.7    # s after which a read that got no answer is asked for anew
@@ -105,6 +105,7 @@
                     self.about.pop(front, None)
                     self.helpers.pop(front, None)
         elif peer == self.store and up:
+            self.leading = (0, now) if self.leading is not None else None   # the store has forgotten that we asked
             self.reading = None
             self._read(now)
         return self._done()
--- a/fennelpoint/system/writ/keeper.py
+++ b/fennelpoint/system/writ/keeper.py
@@ -51,7 +51,9 @@
 ROUND, READ, SPREAD = 0.5, 0.35, 0.8     # s for a round's answers, a read's, a content's
 GIVE_UP = 3.5           # s after which a change has no clear answer
 READ_LIFE = 2.0         # s that a read is tried
-PAUSE = (0.015, 0.09)   # s between two rounds that got into each other's way
+PAUSE = (0.015, 0.09)   # s between two rounds that got into each other's way; twice as long each time
+MOST_PAUSES = 4         # times that it grows
+PEEK_AGAIN, PEEKS = 0.04, 3     # s between looks that found no majority alike, and how many until a round tells
 REJOIN = 0.4            # s between tries to come back
 STAND_BY = 0.5          # s between tries to become a voter
 MEND = 1.0              # s between tries to write to a disk that refused
@@ -96,6 +98,7 @@
     holders: frozenset[str] = frozenset()   # have the content
     asked: frozenset[str] = frozenset()
     not_before: float = 0.0
+    lost: int = 0           # rounds that got into others' way
     tokens: list = field(default_factory=list)  # of reads that its answer is for
 
 
@@ -116,6 +119,7 @@
         self.numbers = 0
         self.told = 0           # revision that all were told of
         self.reading: dict | None = None
+        self.peeks, self.peek_at = 0, now       # looks in a row without a majority alike; when to look again
         self.readers: list[tuple[object, float]] = []   # wait for the next read
         self.rejoin: Rejoin | None = None
         self.rejoin_at = self.stand_at = now
@@ -179,6 +183,7 @@
                 again, self.reading = self.reading["tokens"], None
                 self.readers = again + self.readers
                 self._begin_read(now)
+        self._begin_read(now)
         for token, since in [r for r in self.readers if now - r[1] > READ_LIFE]:
             self.readers.remove((token, since))
             self._send(ROLL, ["newest", token, None])
@@ -190,7 +195,9 @@
         elif self.rejoin is None and self.world and now >= self.stand_at:
             self.stand_at = now + STAND_BY * self.random.uniform(0.8, 1.6)
             voters = self.world["voters"]
-            if voters.get(self.me) != self.zone and (self.me in voters or self.me not in self.world["ready"]):
+            if any(job.token is None and not job.tokens for job in self.jobs):
+                pass    # one of our own is under way
+            elif voters.get(self.me) != self.zone and (self.me in voters or self.me not in self.world["ready"]):
                 self._add(Job(stand_by(self.me, self.zone, self.regions), None, now), now)
             elif self.world["before"] and min(self.world["voters"]) == self.me:
                 self._add(Job(settle(), None, now), now)
@@ -397,8 +404,10 @@
             self._lost(job, now)
 
     def _lost(self, job: Job, now: float) -> None:
+        """Guards against many that get into each other's way for good: a round takes two ways there and back."""
         job.round, job.until = None, 0.0
-        job.not_before = now + self.random.uniform(*PAUSE)
+        job.not_before = now + self.random.uniform(*PAUSE) * 2 ** min(job.lost, MOST_PAUSES)
+        job.lost += 1
 
     def _finish(self, job: Job, sent: Accept | None) -> None:
         """Tell what became of a change."""
@@ -444,6 +453,8 @@
     def _begin_read(self, now: float) -> None:
         if self.reading is not None or not self.readers or self.rejoin is not None and not self.peers:
             return
+        if now < self.peek_at:
+            return
         tokens, self.readers = self.readers, []
         self.numbers += 1
         groups = self.groups()
@@ -493,7 +504,7 @@
         alike = frozenset(s.name for s in answers.values() if s.ok and s.accepted == newest.accepted)
         groups = groups_of(newest.value)
         if holds(alike, groups):
-            self.reading = None
+            self.reading, self.peeks = None, 0
             self._learn(newest.accepted, newest.value)
             for token, _ in reading["tokens"]:
                 self._send(ROLL, ["newest", token, newest.value])
@@ -502,9 +513,14 @@
         if reading["asked"] != reading["whom"] and reading["asked"] <= answers.keys():
             return self._peek_more()
         if all(reading["whom"] & g <= answers.keys() for g in groups) and holds(voting, groups):
-            self._by_round(now)     # all answered, and no majority holds the same: a round tells
+            # All answered, and no majority holds the same: a change is under way.  Most often its own round ends it.
+            self.peeks += 1
+            if self.peeks >= PEEKS:
+                return self._by_round(now)
+            self.readers, self.reading = reading["tokens"] + self.readers, None
+            self.peek_at = now + PEEK_AGAIN
 
     def _by_round(self, now: float) -> None:
-        reading, self.reading = self.reading, None
+        reading, self.reading, self.peeks = self.reading, None, 0
         self._add(Job(same(), None, now, tokens=reading["tokens"]), now)
         self._begin_read(now)
