--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import socket
 import zlib
 from collections.abc import Callable
 
@@ -24,11 +25,23 @@
 WAIT_DRAIN = 0.9    # s for a majority to hold a drain
 COLD_TILL_HEARD = 1.6   # beats that a backend off the disk counts as cold at most
 LEAD_AGAIN = 3.8    # s for the store to number a term: it tells before, unless it has ended
-GOSSIP = 0.5        # s between words on who was heard
+GOSSIP = 0.6        # s between words on who was heard
 COLD_PART = 0.9     # of what a cold backend bears, lent out
 READ_AGAIN = 0.7    # s after which a read that got no answer is asked for anew
 
 
+def number_of(ip: str) -> int | str:
+    """An IP address in four bytes: gossip names every front twice a second."""
+    try:
+        return int.from_bytes(socket.inet_aton(ip), "big")
+    except OSError:
+        return ip   # no address: a name, as in simulated time
+
+
+def ip_by(number: int | str) -> str:
+    return number if isinstance(number, str) else socket.inet_ntoa(number.to_bytes(4, "big"))
+
+
 class Desk:
     """One core machine's part of the registry."""
 
@@ -254,7 +267,7 @@
                 self.told_members[m.ip] = state
                 whole.append(m.pack(now))
             else:
-                brief.append([m.ip, round(now - m.heard, 2)])
+                brief += [number_of(m.ip), int((now - m.heard) * 1000)]
         news, self.news = sorted(self.news), set()
         fronts = sorted(m.ip for m in self.members.known.values() if m.ready and now - m.heard < FRESH)
         if fronts != self.told_fronts:
@@ -272,9 +285,10 @@
             self._push(revived, now)
         for *member, age in whole:
             self.members.fold(*member, age, now)
-        for ip, age in brief:
-            if (m := self.members.known.get(ip)) is not None and now - age > m.heard:
-                m.heard, m.direct = now - age, False
+        for number, age in zip(brief[::2], brief[1::2], strict=True):
+            at = now - age / 1000
+            if (m := self.members.known.get(ip_by(number))) is not None and at > m.heard:
+                m.heard, m.direct = at, False
 
     # Fronts
 
--- a/fennelpoint/system/span/tether.py
+++ b/fennelpoint/system/span/tether.py
@@ -17,7 +17,7 @@
 RENEW = 0.5         # s between asks
 PATIENCE = 0.4      # s without an answer after which another core machine is asked, too
 CUT, HELPERS = 0.9, 2   # s without an answer after which other fronts are asked to pass words on; how many
-AGAIN = 0.6         # s after which a content is asked for anew
+AGAIN = 0.45        # s after which a content is asked for anew
 
 
 @dataclass(slots=True)
@@ -109,6 +109,7 @@
     seen: bool = False      # we have held a lease
     cut: bool = False       # no core machine answers
     pending: dict[str, list] = field(default_factory=dict)  # leases that wait for a content: until, by digest
+    wanted: str = ""        # the content that was asked for last, and when
     wanted_at: float = -1e9
     out: list = field(default_factory=list)
 
@@ -328,9 +329,11 @@
             self._want(now)
 
     def _want(self, now: float) -> None:
-        self.wanted_at = now
-        for peer in [p for p in (name("roll", ip) for ip in self.order()) if p in self.up][:2]:
+        """The nearest is asked first, two where that said nothing: versions are the longest of all that is sent."""
+        reached = [p for p in (name("roll", ip) for ip in self.order()) if p in self.up]
+        for peer in reached[:1 if self.wanted != self.digest else 2]:
             self._send(peer, ["need", self.digest])
+        self.wanted, self.wanted_at = self.digest, now
         if self.helper:
             self._send(self.helper, ["pass", ["need", self.digest]])
 
--- a/fennelpoint/system/writ/keeper.py
+++ b/fennelpoint/system/writ/keeper.py
@@ -465,12 +465,17 @@
             if not holds(few, groups):
                 few |= {name}
         self.reading = {"number": self.numbers, "tokens": tokens, "until": now + READ, "more": now + READ_FEW,
-                        "answers": {}, "whom": whom, "asked": few, "cell": self.keeper.cells.get(KEY, Cell())}
+                        "answers": {}, "whom": whom, "asked": few, "cell": self._newest_cell()}
         for name in sorted(few - {self.me}):
             self._send(name, ["peek", self.numbers, self.reading["cell"].accepted])
         if self.me in whom and not self.ill:
             self._peeked(self._handle(Peek(KEY)), now)
 
+    def _newest_cell(self) -> Cell:
+        """The newest value known here, which answers need not bear; who does not vote has only learnt it."""
+        held = self.keeper.cells.get(KEY, Cell())
+        return Cell(ZERO, self.at, self.world) if self.world and self.at > held.accepted else held
+
     def _far(self, ip: str) -> tuple:
         zones = {**self.world.get("ready", {}), **self.world.get("voters", {})}
         zone = zones.get(ip, "")
