--- a/fennelpoint/standins/core_world.py
+++ b/fennelpoint/standins/core_world.py
@@ -482,6 +482,19 @@
         raise ValueError(f"{' '.join(words)!r} is no expectation")
 
 
+def grown(cores: int, fronts: int, seed: int = 1) -> World:
+    """So many machines over nine zones in three regions, just started."""
+    world = World(seed)
+    for i in range(cores):
+        world.do(["core", f"c{i:02}", f"z{i % 9}", f"r{i % 3}"])
+    for i in range(fronts):
+        world.do(["front", f"f{i:04}", f"z{i % 9}", f"r{i % 3}", "t1=0.1"])
+    for i in range(30):
+        world.do(["backend", f"s{i:02}", "svc", f"z{i % 9}"])
+    world.start()
+    return world
+
+
 def play(text: str, seed: int = 1) -> World:
     """Play a scenario; raises Broken where a rule or an expectation does not hold, ValueError on a bad line."""
     world = World(seed)
