--- a/fennelpoint/system/events.py
+++ b/fennelpoint/system/events.py
@@ -37,6 +37,9 @@
     FOUND = (313, "info", "{ids} speak again", "They are sent to again.")
     LAPSED = (400, "warning", "{node} holds no lease: {reason}", "Nothing is sent on until a core machine answers.")
     APPLIED = (401, "info", "{node} goes by version {version}", "From now on requests go by it.")
+    CUTS = (402, "notice", "{node} cuts {cut}: {failing} over its aim, confidence {confidence}",
+            "Admission takes rate off these, lucky ones first, until those within their quota meet their aims.")
+    RESTORES = (403, "info", "{node} cuts nobody any more", "No tenant within its quota misses its aim.")
 
 
 def say(event: Event, **fields: object) -> None:
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -14,6 +14,7 @@
 from fennelpoint.lifecycle import LifeCycle
 from fennelpoint.net.leaving import Leaving
 from fennelpoint.net.server import Server
+from fennelpoint.state import Cut
 from fennelpoint.system.events import Event, say
 from fennelpoint.system.mesh import Mesh
 from fennelpoint.system.roll.steward import WHOLE
@@ -64,6 +65,7 @@
                              settings.seeds, about, time.monotonic(), asked=self.reader.take_asked)
         self.mesh = Mesh(loop, "span", settings.ip_address, settings.internal_ports, self.take, self.linked)
         self.web = Web(loop, self.call)
+        self.cut: Cut | None = None     # what admission takes off whom, as last told
         self.evac: frozenset = frozenset()
         self.restored: dict[str, float] = {}    # zones that were taken back, and until when they count as cold
         self.stopped = loop.create_future()
@@ -225,6 +227,22 @@
         self.loop.call_later(SWEEP, self._sweep)
         self.server.sweep()
         self.backends.sweep()
+        self._tell_cuts()
+
+    def _tell_cuts(self) -> None:
+        """What admission decided since the last look; it decides each half second at most."""
+        regulation = self.host.controller.regulation
+        before, self.cut = self.cut, regulation.cut
+        if self.cut is None and before is not None:
+            say(Event.RESTORES, node=self.settings.node_name)
+        if self.cut is None or self.cut is before:
+            return
+        names = {key: holder.name for key, holder in enumerate(self.reader.holders)}
+        cut = ", ".join(f"{names.get(c.key, 'public')} by {amount:.2f} a second" for c, amount in self.cut.takes)
+        failing = ", ".join(names.get(c.key, "public") for c in regulation.active.values()
+                            if c.ratio > 1.0 and c.rate <= regulation.own_rate(c, self.host.clock()) + 1e-9)
+        say(Event.CUTS, node=self.settings.node_name, cut=cut or "nobody", failing=failing or "nobody",
+            confidence=f"{regulation.fit.at(regulation.work)[1]:.1f}")
 
     def reload(self, settings: Settings) -> None:
         self.tether.seeds = settings.seeds
