Pools begin with a quarter of the slack; who is short for a moment comes back soon

Change: a pool begins with a quarter of the slack (two changes in a window keep the bound) and fills from when nobody else may draw; what was asked for is kept as a fading count, and a tenant denied while that is under 1.25 of its quota is told 0.15 to 0.5 s.

--- a/fennelpoint/system/roll/steward.py
+++ b/fennelpoint/system/roll/steward.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from math import log
 
 LIFE = 4.2          # s of a lease and of a grant at the front, from the sending of its ask
 SLACK = 0.4         # s more that it counts here
@@ -22,6 +23,8 @@
 DRAW_LIFE = 0.5     # s that units of the pool are good at the front, from the sending of its ask
 THIN, THICK = 2.0, 3.0  # a second of a quota for each front: below, they draw from its pool; above, they hold parts
 POOL_BURST = 0.5    # of the slack that the rules leave beside a burst, kept in the pool
+POOL_START = 0.25   # of that slack, in a pool that begins: two changes of reckoner in a window keep to the bound
+DEMAND, OVER = 4.0, 1.25    # s in which what was drawn for counts half; of a quota, asked for: it is over, not short
 NOISE = 0.25        # of a part: asks of seconds say no more than this, and what is taken back is lost
 
 
@@ -68,6 +71,7 @@
 
     level: float
     filled: float
+    asked: float = 0.0      # units, fading
     part: float = 0.0       # of the quota
     part_at: float = -1e9   # when that was last reckoned
 
@@ -79,6 +83,7 @@
         self.term, self.since, self.number = term, now, 0
         self.fronts: dict[str, Front] = {ip: Front(ip) for ip in fronts}
         self.pools: dict[str, Pool] = {}    # by tenant, of those whose fronts draw
+        self.opened: float | None = None    # when the pools did
 
     def enrol(self, fronts: Iterable[str]) -> None:
         """These may hold parts from now on: by a value that is agreed, so that whoever comes after knows."""
@@ -119,31 +124,35 @@
         elif number and tuple(term) == tuple(self.term):
             front.grants = [g for g in front.grants if g.number >= number]
         front.grants = [g for g in front.grants if now < g.ends]
+        self.open(now)
         return self._lend(front, rates, cold, now)
 
     def open(self, now: float) -> bool:
         """Whether nobody draws from the pool of a reckoner before us: its words count no more, or it has ended."""
-        return now - self.since > HOLD or all(f.known for f in self.fronts.values())
+        if self.opened is None and (now - self.since > HOLD or all(f.known for f in self.fronts.values())):
+            self.opened = now
+        return self.opened is not None
 
     def _thin(self, tenant: str, rate: float, alive: int, now: float) -> bool:
         """Whether its fronts draw; whoever begins to reckon has nothing in the pool."""
         drawn = tenant in self.pools
         draws = rate < (THICK if drawn else THIN) * alive
         if draws and not drawn:
-            self.pools[tenant] = Pool(0.0, now)
+            self.pools[tenant] = Pool(-1.0, now)
         elif drawn and not draws:
             del self.pools[tenant]
         return draws
 
     def draw(self, ip: str, needs: Mapping[str, float], rates: Mapping[str, float], bursts: Mapping[str, float],
-             slack: float, now: float) -> tuple[dict, dict] | None:
-        """Units of the pool for a front, and what is not there; None: not from here, or not now.
+             slack: float, now: float) -> tuple[dict, dict, list] | None:
+        """Units of the pool for a front, what is not there, and tenants that are short for a moment only.
 
-        Bound: a unit is used within `DRAW_LIFE` of its ask, so a window's use is at most what is drawn in one that
-        much longer: a burst with half of the slack, and the rate for a tenth of a window more, as the rules leave."""
+        None: not from here, or not now.  Bound: a unit is used within `DRAW_LIFE` of its ask, so a window's use is at
+        most what is drawn in one that much longer: a burst with half of the slack, and the rate for a tenth of a
+        window more; twice `POOL_START` where the reckoner moves.  The rules leave that."""
         if (front := self.fronts.get(ip)) is None or not front.known or not self.open(now):
             return None
-        given, denied = {}, {}
+        given, denied, soon = {}, {}, []
         for tenant, units in needs.items():
             if (rate := rates.get(tenant, 0.0)) <= 0.0 or (pool := self.pools.get(tenant)) is None:
                 continue
@@ -151,7 +160,10 @@
                 lent = sum(f.out("quotas", tenant, now) for f in self.fronts.values())
                 pool.part, pool.part_at = max(0, WHOLE - lent) / WHOLE, now
             most = (bursts.get(tenant, 0.0) + POOL_BURST * slack) * pool.part
+            if pool.level < 0.0:    # its first draw: filled since nobody else drew from it
+                pool.level, pool.filled = POOL_START * slack * pool.part, max(pool.filled, self.opened)
             pool.level = min(most, pool.level + rate * pool.part * (now - pool.filled))
+            pool.asked = pool.asked * 0.5 ** ((now - pool.filled) / DEMAND) + units
             pool.filled = now
             got = min(int(pool.level), units)
             pool.level -= got
@@ -159,7 +171,9 @@
                 given[tenant] = got
             if got < units:
                 denied[tenant] = units - got
-        return given, denied
+                if pool.asked < OVER * rate * DEMAND / log(2.0):
+                    soon.append(tenant)
+        return given, denied, soon
 
     def told(self, now: float) -> dict:
         """For operators: the term, and of each front what it asked a second and what it may be using."""
--- a/fennelpoint/system/span/decide.py
+++ b/fennelpoint/system/span/decide.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Set
 from dataclasses import dataclass, field, replace
 from math import inf
 
@@ -62,6 +63,7 @@
     units: dict[int, float]
     denied: dict[int, float]
     until: float
+    soon: Set[int] = frozenset()    # customers of these that are short for a moment only
 
 
 @dataclass(slots=True)
@@ -99,6 +101,7 @@
         self.given: dict[int, deque] = {}       # units of the pool, by customer: until when, and how many
         self.needed: dict[int, float] = {}      # tries that units were asked for, and when
         self.denied_at: dict[int, float] = {}   # when the pool last had none, by customer
+        self.soon: Set[int] = frozenset()       # who was denied for a moment only
 
     def thin(self, c: Customer) -> bool:
         """Whether it has no part of its own here: too many fronts share too little, and each try asks the pool."""
@@ -155,9 +158,10 @@
         """Units have come; the tries for which there are none, the cheapest and latest ones."""
         for key, units in event.units.items():
             self.given.setdefault(key, deque()).append((event.until, units))
-        out = []
+        out, self.soon = [], event.soon
         for key, units in event.denied.items():
-            self.denied_at[key] = now
+            if key not in event.soon:
+                self.denied_at[key] = now
             waiting = [t for t in self.line.held.values() if t.customer.key == key and t.ask.request in self.needed]
             for t in sorted(waiting, key=lambda t: (t.worth, -t.ask.request)):
                 if units <= 0.0:
@@ -269,9 +273,10 @@
     def refuse(self, t: Try, now: float, wait: float) -> None:
         self.quotas.fill(t.customer, now)
         over = self.quotas.over(t)
+        long = over and not (self.quotas.thin(t.customer) and t.customer.key in self.quotas.soon)
         # One whose tenant asks for more than its quota has no room for as long as that lasts; for want of a lease, a
         # part or a backend a client does well to come again soon.
-        super().refuse(t, now, max(wait, OVER_ADVICE) if over else min(MOST_ADVICE, max(wait, ADVICE)))
+        super().refuse(t, now, max(wait, OVER_ADVICE) if long else min(MOST_ADVICE, max(wait, ADVICE)))
         if isinstance(last := self.out[-1], api.Refuse):
             last.over = over
 
@@ -300,7 +305,7 @@
 
     def _given(self, event: Given, now: float) -> None:
         for t in self.quotas.give(event, now):
-            self.waiting.refuse(t, now, OVER_ADVICE)
+            self.waiting.refuse(t, now, 0.0)
         self.waiting.pump(now)
 
     def _placed(self, event: Places, now: float) -> None:
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -112,10 +112,11 @@
                     self._hold(held, reason)
                 case Lend():
                     self._lend()
-                case Units(given, denied, until):
+                case Units(given, denied, soon, until):
                     plans, offset = self.reader.plans, self.host.clock.offset
                     self.host.post(Given({plans[t]: n for t, n in given.items() if t in plans},
-                                         {plans[t]: n for t, n in denied.items() if t in plans}, until + offset))
+                                         {plans[t]: n for t, n in denied.items() if t in plans}, until + offset,
+                                         {plans[t] for t in soon if t in plans}))
 
     def need(self, customer: int, units: float) -> None:
         """Units of a tenant without a part here: asked for together with all others of this moment."""
--- a/fennelpoint/system/span/tether.py
+++ b/fennelpoint/system/span/tether.py
@@ -64,6 +64,7 @@
 
     given: dict[str, int]
     denied: dict[str, int]
+    soon: list[str]         # of these, tenants that are short for a moment only
     until: float
 
 
@@ -233,9 +234,10 @@
             self._send(reached[0], ["draw", now, needs])
         return self._done()
 
-    def _on_units(self, peer: str, now: float, stamp: float, term: list, given: dict, denied: dict) -> None:
+    def _on_units(self, peer: str, now: float, stamp: float, term: list, given: dict, denied: dict,
+                  soon: list) -> None:
         if tuple(term) >= tuple(self.fence):
-            self.out.append(Units(given, denied, stamp + DRAW_LIFE))
+            self.out.append(Units(given, denied, soon, stamp + DRAW_LIFE))
 
     def say(self, now: float) -> list:
         """Tell at once that something of ours has changed."""
--- a/tests/system/test_span.py
+++ b/tests/system/test_span.py
@@ -208,6 +208,9 @@
     (refused,) = front.tell(Given({}, {1: 1.0}, front.now + 0.5))
     assert refused.over and refused.retry_after >= 3.0      # told at once
     front.ask()
+    (refused,) = front.tell(Given({}, {1: 1.0}, front.now + 0.5, {1}))
+    assert refused.over and refused.retry_after <= 0.5      # its tenant is short for a moment only
+    front.ask()
     front.now += 1.0
     assert not [a for a in front.tell(Given({1: 9.0}, {}, front.now - 0.1)) if isinstance(a, api.Send)]     # too late
     front.tell(Given({1: 2.0}, {}, front.now + 0.5))
