Back sooner after all is lost: reads ask who is there, who comes back is asked

Reads asked the nearest machines, up or not, and waited 0.12 s for each that was down; what was sent to one that was not there yet was lost until a round (0.5 s) or a read (0.35 s) ended; asks that waited at a registry were forgotten as its store came up; fronts tried core machines again after up to 0.8 s. Ruled out: the duty (1.2 s of grants), since all voters' grants count at once. Change: stores know who is connected, ask those first, and repeat to one that comes up what it did not hear; a registry keeps its asks; fronts dial each 0.2 s.

--- a/fennelpoint/fleet/agree.py
+++ b/fennelpoint/fleet/agree.py
@@ -17,7 +17,6 @@
     ZERO,
     Accept,
     Answer,
-    Ballot,
     Cell,
     Change,
     Hello,
@@ -31,6 +30,7 @@
     Seen,
     Voted,
     agreed,
+    ballot_of,
     handle,
     majority,
     same,
@@ -83,24 +83,17 @@
                       [[key, [c.promised, c.accepted, c.value]] for key, c in answer.cells]]}
 
 
-def _ballot(value: object) -> Ballot:
-    number, name = value
-    if type(number) is not int or not isinstance(name, str) or not 0 <= number < 1 << 62:
-        raise ValueError("it is no ballot")
-    return number, name
-
-
 def decode_answer(value: Mapping) -> Answer:
     """Raises ValueError, TypeError or KeyError where it is none."""
     if "seen" in value:
         name, life, ok, promised, accepted, held = value["seen"]
-        return Seen(name, life, ok, _ballot(promised), _ballot(accepted), held)
+        return Seen(name, life, ok, ballot_of(promised), ballot_of(accepted), held)
     if "voted" in value:
         name, life, ok, promised = value["voted"]
-        return Voted(name, life, ok, _ballot(promised))
+        return Voted(name, life, ok, ballot_of(promised))
     name, votes, lives, cells = value["known"]
     return Known(name, votes, tuple((n, int(life)) for n, life in lives),
-                 tuple((key, Cell(_ballot(p), _ballot(a), held)) for key, (p, a, held) in cells))
+                 tuple((key, Cell(ballot_of(p), ballot_of(a), held)) for key, (p, a, held) in cells))
 
 
 def encode_message(message: Message) -> dict:
@@ -122,9 +115,9 @@
         case "peek":
             return Peek(str(call["key"]))
         case "prepare":
-            return Prepare(str(call["key"]), _ballot(call["ballot"]))
+            return Prepare(str(call["key"]), ballot_of(call["ballot"]))
         case "accept":
-            return Accept(str(call["key"]), _ballot(call["ballot"]), call["value"],
+            return Accept(str(call["key"]), ballot_of(call["ballot"]), call["value"],
                           tuple((str(name), int(life)) for name, life in call["lives"]))
         case "hello":
             return Hello(str(call["name"]), int(call["life"]))
--- a/fennelpoint/fleet/register.py
+++ b/fennelpoint/fleet/register.py
@@ -18,6 +18,14 @@
 ZERO: Ballot = (0, "")
 
 
+def ballot_of(value: object) -> Ballot:
+    """A ballot as it came over a wire; raises ValueError or TypeError."""
+    number, name = value
+    if type(number) is not int or not isinstance(name, str) or not 0 <= number < 1 << 62:
+        raise ValueError("it is no ballot")
+    return number, name
+
+
 @dataclass(frozen=True, slots=True)
 class Cell:
     """What a keeper holds of one key."""
--- a/fennelpoint/fleet/store.py
+++ b/fennelpoint/fleet/store.py
@@ -13,7 +13,6 @@
 from hashlib import sha256
 from pathlib import Path
 
-from fennelpoint.fleet.audit import Rolled, roll, span_of
 from fennelpoint.fleet.register import Cell, Keeper
 from fennelpoint.notice import log
 
@@ -154,6 +153,9 @@
 
     def _roll(self, ingress: str, count: int) -> None:
         """The oldest spans of an ingress become a row a version."""
+        # Loaded here: the whole system's store keeps no spans, and starts sooner without.
+        from fennelpoint.fleet.audit import Rolled, roll, span_of
+
         rows = list(self.db.execute("SELECT life, seq, span FROM spans WHERE ingress = ? "
                                     "ORDER BY json_extract(span, '$.begin[0]') LIMIT ?", (ingress, count)))
         before = [Rolled(**_moments(json.loads(row[0]))) for row in self.db.execute(
--- a/fennelpoint/standins/core_world.py
+++ b/fennelpoint/standins/core_world.py
@@ -317,6 +317,8 @@
                 if one != other:
                     wanted[one, other] = True
             wanted[one, name("writ", ip_of(one))] = True
+        writs = [name("writ", ip) for ip in self.cores]
+        wanted |= {(one, other): True for one in writs for other in writs if one != other}
         for front in self.fronts.values():
             if front.up:
                 for peer in front.tether.peers():
@@ -338,6 +340,8 @@
         role, ip = one.split("@")
         if role == "roll":
             self._roll(self.cores[ip], self.cores[ip].desk.linked(other, up, self.now))
+        elif role == "writ":
+            self._writ(self.cores[ip], self.cores[ip].store.linked(ip_of(other), up, self.now))
         elif role == "span":
             self._span(self.fronts[ip], self.fronts[ip].tether.linked(other, up, self.now))
 
--- a/fennelpoint/system/mesh.py
+++ b/fennelpoint/system/mesh.py
@@ -74,9 +74,9 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, role: str, ip: str, ports: tuple[int, int],
                  take: Callable[[str, list], None],
-                 changed: Callable[[str, bool], None] = lambda peer, up: None) -> None:
+                 changed: Callable[[str, bool], None] = lambda peer, up: None, most: float = AGAIN_MOST) -> None:
         self.loop, self.me, self.ip, self.ports = loop, name(role, ip), ip, ports
-        self.role, self._take, self.changed = role, take, changed
+        self.role, self._take, self.changed, self.most = role, take, changed, most
         self.wires: set[Wire] = set()
         self.ways: dict[str, list[Wire]] = {}   # by peer, our own first
         self.dialling: dict[str, asyncio.Task] = {}
@@ -116,7 +116,7 @@
                     await self.loop.create_connection(lambda wire=wire: wire, ip, self.port(role))
             except (OSError, TimeoutError):
                 await asyncio.sleep(pause * random.uniform(0.7, 1.3))
-                pause = min(AGAIN_MOST, pause * 1.5)
+                pause = min(self.most, pause * 1.5)
                 continue
             pause = AGAIN
             while wire in self.wires:
--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -119,8 +119,9 @@
                     self.helpers.pop(front, None)
         elif peer == self.store and up:
             self.leading = (0, now) if self.leading is not None else None   # the store has forgotten that we asked
-            self.reading = None
-            self._read(now)
+            if self.reading is not None:    # it did not hear of it: those that wait need not ask again
+                self.asks, self.reading = self.reading[2] + self.asks, None
+            self._read(now, own=self.steward is not None)
         return self._done()
 
     def tick(self, now: float) -> list:
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -34,6 +34,7 @@
 CONNECT = 0.4       # s for a connection to a backend
 OVER_PART, MORE_PART = 0.9, 0.5     # of a quota's overshoot and slack, used
 SLACK_PART = 0.9    # of the budget's slack, used
+AGAIN = 0.2         # s between tries to reach a core machine: it may have just come back, and nobody dials us
 GATHER = 0.003      # s in which asks for units go together
 SHARERS = 3.0       # fronts that are likely to send to one backend
 
@@ -63,7 +64,7 @@
                  "region": settings.region, "life": self.random.getrandbits(40)}
         self.tether = Tether(settings.ip_address, settings.availability_zone, settings.region, settings.zones,
                              settings.seeds, about, time.monotonic(), asked=self.reader.take_asked)
-        self.mesh = Mesh(loop, "span", settings.ip_address, settings.internal_ports, self.take, self.linked)
+        self.mesh = Mesh(loop, "span", settings.ip_address, settings.internal_ports, self.take, self.linked, AGAIN)
         self.web = Web(loop, self.call)
         self.cut: Cut | None = None     # what admission takes off whom, as last told
         self.evac: frozenset = frozenset()
--- a/fennelpoint/system/writ/keeper.py
+++ b/fennelpoint/system/writ/keeper.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from fennelpoint.fleet.agree import _ballot
 from fennelpoint.fleet.register import (
     ZERO,
     Accept,
@@ -27,6 +26,7 @@
     Round,
     Seen,
     Voted,
+    ballot_of,
     handle,
     holds,
 )
@@ -126,6 +126,7 @@
         self.wanted: dict[str, float] = {}  # contents that are asked for, and when again
         self.out: list[Action] = []
         self.born = now
+        self.up: set[str] = set()   # core machines whose store is connected
         self.ill = ""           # the disk refuses: no word of what it holds until it has taken all of it
         self.mend_at = now
         if not keeper.votes:
@@ -166,6 +167,17 @@
             do(peer, now, *rest)
         return self._done()
 
+    def linked(self, peer: str, up: bool, now: float) -> list[Action]:
+        """A connection to another core machine's store came up: it is asked what it did not hear."""
+        (self.up.add if up else self.up.discard)(peer)
+        if up and (reading := self.reading) is not None and peer in reading["whom"] - reading["answers"].keys():
+            reading["asked"] |= {peer}
+            self._send(peer, ["peek", reading["number"], reading["cell"].accepted])
+        job = self.jobs[0] if self.jobs else None
+        if up and job is not None and job.round is not None and job.round.sent is None and peer in job.asked:
+            self._send(peer, ["prepare", job.number, job.round.ballot])
+        return self._done()
+
     def tick(self, now: float) -> list[Action]:
         """Each few hundredths of a second: what is due."""
         if self.ill and now >= self.mend_at:
@@ -232,17 +244,17 @@
         return answer
 
     def _on_prepare(self, peer: str, now: float, number: int, ballot: list) -> None:
-        seen = self._handle(Prepare(KEY, _ballot(ballot)))
+        seen = self._handle(Prepare(KEY, ballot_of(ballot)))
         self.highest = max(self.highest, ballot[0])
         self._send(peer, ["seen", number, seen.name, seen.life, seen.ok, seen.promised, seen.accepted, seen.value])
 
     def _on_peek(self, peer: str, now: float, number: int, known: list) -> None:
         seen = self._handle(Peek(KEY))
-        value = None if seen.accepted == _ballot(known) else seen.value
+        value = None if seen.accepted == ballot_of(known) else seen.value
         self._send(peer, ["peeked", number, seen.name, seen.life, seen.ok, seen.promised, seen.accepted, value])
 
     def _on_accept(self, peer: str, now: float, number: int, ballot: list, value: dict, lives: list) -> None:
-        voted = self._handle(Accept(KEY, _ballot(ballot), value, tuple((n, life) for n, life in lives)))
+        voted = self._handle(Accept(KEY, ballot_of(ballot), value, tuple((n, life) for n, life in lives)))
         self._send(peer, ["voted", number, voted.name, voted.life, voted.ok, voted.promised])
         self._members()
 
@@ -281,14 +293,14 @@
     def _on_known(self, peer: str, now: float, name: str, votes: bool, lives: list, cells: list,
                   world: dict, at: list) -> None:
         if world:
-            self._learn(_ballot(at), world)
+            self._learn(ballot_of(at), world)
         if self.rejoin is None:
             return
         for _, _, value in cells:
             for part in ("voters", "before", "ready") if value else ():
                 self.peers.update(set(value[part]) - {self.me})
         known = Known(name, votes, tuple((n, int(life)) for n, life in lives),
-                      tuple((KEY, Cell(_ballot(p), _ballot(a), v)) for p, a, v in cells))
+                      tuple((KEY, Cell(ballot_of(p), ballot_of(a), v)) for p, a, v in cells))
         before, self.rejoin = self.rejoin, self.rejoin.heard(known)
         if self.rejoin.message != before.message:
             self.rejoin_at = now    # the new life is told at once
@@ -364,7 +376,7 @@
 
     def _on_seen(self, peer: str, now: float, number: int, name: str, life: int, ok: bool, promised: list,
                  accepted: list, value: object) -> None:
-        seen = Seen(name, life, ok, _ballot(promised), _ballot(accepted), value)
+        seen = Seen(name, life, ok, ballot_of(promised), ballot_of(accepted), value)
         current = self.jobs and self.jobs[0].number == number and self.jobs[0].round is not None
         one = self.jobs[0].round if current else self.late[1] if self.late and self.late[0] == number else None
         if one is None:
@@ -378,7 +390,7 @@
 
     def _on_voted(self, peer: str, now: float, number: int, name: str, life: int, ok: bool, promised: list) -> None:
         if self.jobs and self.jobs[0].number == number and self.jobs[0].round is not None:
-            self._hear(Voted(name, life, ok, _ballot(promised)), now)
+            self._hear(Voted(name, life, ok, ballot_of(promised)), now)
 
     def _hear(self, answer: Seen | Voted, now: float) -> None:
         job = self.jobs[0]
@@ -428,7 +440,7 @@
 
     def _on_learn(self, peer: str, now: float, ballot: list, value: dict) -> None:
         self.told = max(self.told, value["rev"])
-        self._learn(_ballot(ballot), value)
+        self._learn(ballot_of(ballot), value)
 
     def _learn(self, ballot: Ballot, world: dict) -> None:
         if not self.world or world["rev"] > self.world["rev"]:
@@ -460,8 +472,9 @@
         groups = self.groups()
         whom = frozenset().union(*groups)
         # The nearest that are a majority are asked, the others only where these don't do: bytes between regions.
+        # Those that are not connected come last: while one is down, each read would wait for it first.
         few = frozenset((self.me,)) & whom
-        for name in sorted(whom - few, key=self._far):
+        for name in sorted(whom - few, key=lambda ip: (ip not in self.up, self._far(ip))):
             if not holds(few, groups):
                 few |= {name}
         self.reading = {"number": self.numbers, "tokens": tokens, "until": now + READ, "more": now + READ_FEW,
@@ -493,8 +506,8 @@
         if self.reading is None or self.reading["number"] != number:
             return
         cell = self.reading["cell"]
-        value = cell.value if _ballot(accepted) == cell.accepted else value
-        self._peeked(Seen(name, life, ok, _ballot(promised), _ballot(accepted), value), now)
+        value = cell.value if ballot_of(accepted) == cell.accepted else value
+        self._peeked(Seen(name, life, ok, ballot_of(promised), ballot_of(accepted), value), now)
 
     def _peeked(self, seen: Seen, now: float) -> None:
         reading = self.reading
--- a/fennelpoint/system/writ/program.py
+++ b/fennelpoint/system/writ/program.py
@@ -24,7 +24,7 @@
         self.loop, self.settings, me = loop, settings, settings.ip_address
         self.disk = Disk(Path(settings.data_directory or "/tmp") / "writ", me, alone=True)
         self.contents: dict[str, bytes] = {}
-        self.mesh = Mesh(loop, "writ", me, settings.internal_ports, self.take)
+        self.mesh = Mesh(loop, "writ", me, settings.internal_ports, self.take, self.linked)
         self.store = Store(me, settings.availability_zone, settings.zones, settings.seeds, self.disk.keeper,
                            settings.first_start and me in settings.seeds, self.content, Random(), time.monotonic())
         self.stopped = loop.create_future()
@@ -48,6 +48,10 @@
         if peer.startswith("writ@") or own:
             self.carry_out(self.store.heard(ROLL if own else ip_of(peer), message, time.monotonic()))
 
+    def linked(self, peer: str, up: bool) -> None:
+        if peer.startswith("writ@"):
+            self.carry_out(self.store.linked(ip_of(peer), up, time.monotonic()))
+
     def carry_out(self, actions: list) -> None:
         """Guards what is said: once a write fails, nothing that comes after it goes out."""
         for action in actions:
