Duty: each claim may win by its own grants, however late they are

Change: claims of the term are kept with the time of their sending; a majority of grants for one extends the duty from that time. Tests: grants 0.4 s late keep the holder, red before; a late one counts from its own claim, not from the one after it.

--- a/fennelpoint/system/roll/duty.py
+++ b/fennelpoint/system/roll/duty.py
@@ -34,7 +34,8 @@
     left: Term | None = None    # a claim that came to nothing, to be told to all
     claimed_at: float = -1e9
     claims: int = 0         # so many were sent: a grant counts for the claim that it answers
-    votes: dict[str, bool] = field(default_factory=dict)    # by whom, and whether firm
+    sent: dict[int, float] = field(default_factory=dict)    # those of our term that may still win, and when
+    votes: dict[int, dict[str, bool]] = field(default_factory=dict)     # by claim, by whom, and whether firm
     holder: Term | None = None  # who holds it, as far as is known here
     holder_at: float = -1e9
 
@@ -50,8 +51,7 @@
             if self.term is not None and now < self.tried_at + TRY:
                 if now - self.claimed_at < REPEAT:
                     return None     # it is under way
-                self.claimed_at, self.votes, self.claims = now, {}, self.claims + 1
-                return self.term    # some may not have been there to hear it
+                return self._claim(now)     # some may not have been there to hear it
             if self.term is not None:
                 self.left, self.term = self.term, None  # it was not to be: another may be granted it
                 self.again = now + TURN * (rank + 1)
@@ -60,8 +60,17 @@
             if now < max(self.holder_at + SPAN, self.until if self.granted != self.me else now) + TURN * rank:
                 return None     # another one holds it, or may
             self.term, self.tried_at = (self.highest + 1, self.me), now
-        self.claimed_at, self.votes, self.claims = now, {}, self.claims + 1
+            self.sent.clear()
+            self.votes.clear()
         self.highest = max(self.highest, self.term[0])
+        return self._claim(now)
+
+    def _claim(self, now: float) -> Term:
+        """One more claim of our term; each may win.  Guards a holder whose grants take longer than it renews."""
+        self.claimed_at, self.claims = now, self.claims + 1
+        self.sent[self.claims], self.votes[self.claims] = now, {}
+        for old in [n for n, at in self.sent.items() if now - at > SPAN]:
+            del self.sent[old], self.votes[old]
         return self.term
 
     def claimed(self, term: Term, held: bool, now: float) -> bool | None:
@@ -77,14 +86,15 @@
 
     def voted(self, term: Term, claim: int, by: str, firm: bool, voters: Collection[str], now: float) -> bool:
         """A grant came; whether we hold the duty by it and did not before."""
-        if term != self.term or claim != self.claims:
+        if term != self.term or claim not in self.sent:
             return False
-        self.votes[by] = firm
-        firmly = sum(self.votes.get(ip, False) for ip in voters)
-        if 2 * firmly <= len(voters) and not all(ip in self.votes for ip in voters):
+        votes = self.votes[claim]
+        votes[by] = firm
+        firmly = sum(votes.get(ip, False) for ip in voters)
+        if 2 * firmly <= len(voters) and not all(ip in votes for ip in voters):
             return False
         before, self.holder, self.holder_at = self.holds(now), term, now
-        self.held_until = max(self.held_until, self.claimed_at + SPAN - MARGIN)
+        self.held_until = max(self.held_until, self.sent[claim] + SPAN - MARGIN)
         return not before and self.holds(now)
 
     def released(self, term: Term) -> None:
