Demo of the system: its programs say by themselves that they end with it

Cause: in a test worker that had loaded gRPC a program was aborted between fork and exec (signal 6), where it was told to end with its parent; its front was never ready, and the clean-up met a process that was gone. Change: the program sets that itself; a process that is gone is no fault of the clean-up.

--- a/fennelpoint/standins/system_demo.py
+++ b/fennelpoint/standins/system_demo.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import random
 import sys
@@ -19,12 +20,15 @@
 
 from result import Ok
 
-from fennelpoint.standins.process import die_with_parent, free_port
+from fennelpoint.standins.process import free_port
 from fennelpoint.standins.servers import read_message
 from fennelpoint.system.client import Client
 
 ZONES = {"za": "ra", "zb": "rb", "zc": "rc"}
 BEAT, GRACE, RATE = 0.5, 2.0, 12.0      # s, s, requests a second of each client
+# A program that ends when we do; it says so itself, as code between fork and exec may abort where gRPC is loaded.
+PROGRAM = ("import ctypes, runpy; ctypes.CDLL(None).prctl(1, 9); "
+           "runpy.run_module('fennelpoint.system', run_name='__main__')")
 HOST, KEY = "bookings.example", "demo-key"
 
 
@@ -151,14 +155,14 @@
     async def start(self, machine: str, first: bool = False) -> None:
         for role in ("writ", "roll") if machine in self.cores else ("span",):
             self.running[machine, role] = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "fennelpoint.system", role, "--settings",
-                str(self.settings(machine, role, first)), preexec_fn=die_with_parent,
+                sys.executable, "-c", PROGRAM, role, "--settings", str(self.settings(machine, role, first)),
                 stderr=(self.root / f"{machine}-{role}.log").open("a"))
 
     async def kill(self, machine: str) -> None:
         for key in [k for k in self.running if k[0] == machine]:
             process = self.running.pop(key)
-            process.kill()
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
             await process.wait()
 
     async def stop(self) -> None:
