--- a/fennelpoint/system/explain.py
+++ b/fennelpoint/system/explain.py
@@ -95,7 +95,8 @@
                "burst": one.get("burst_size") or 0, "keys": len(one.get("api_keys", ())),
                "homes": sorted(one.get("home_regions") or ()), "reckoned by": parts.get("node", "nobody"),
                "term": parts.get("term", 0), "all parts are known": parts.get("settled", False),
-               "lent": round(sum(f["part"] for f in fronts.values()), 3), "fronts": fronts})
+               "lent": round(sum(f["part"] for f in fronts.values()), 3), "fronts": fronts,
+               **({"drawn from its pool": pool} if (pool := parts.get("pools", {}).get(name)) is not None else {})})
 
 
 def backend(held: dict, status: dict, parts: dict, id: str) -> Result[dict, Failure]:
--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -589,10 +589,3 @@
             self.leading = (0, now)
         if (held := self.calls.pop(token, None)) is not None:
             held.then([status, reason])
-
-
-
-
-
-
-
--- a/fennelpoint/system/roll/office.py
+++ b/fennelpoint/system/roll/office.py
@@ -104,17 +104,21 @@
 
         self.desk.send(self.desk.store, ["read", self._wait(asking, now, with_world)])
 
-    def _call_get(self, asking: Asking, now: float) -> None:
+    def _newest(self, asking: Asking, now: float, reply: Callable[[dict, bytes], Reply]) -> None:
+        """Answer by what a majority holds now: the agreed value and its configuration, as JSON."""
         def with_world(got: list) -> None:
             if (world := got[0]) is None:
                 return self.desk.answer(asking, fault(503, "no majority answers"))
             if not (digest := world["digest"]):
                 return self.desk.answer(asking, fault(404, "there is no configuration yet"))
             self.desk.with_content(digest, lambda: self.desk.answer(
-                asking, Reply(200, raw=zlib.decompress(self.desk.contents[digest]))))
+                asking, reply(world, zlib.decompress(self.desk.contents[digest]))))
 
         self.desk.send(self.desk.store, ["read", self._wait(asking, now, with_world)])
 
+    def _call_get(self, asking: Asking, now: float) -> None:
+        self._newest(asking, now, lambda world, held: Reply(200, raw=held))
+
     def _call_evacuate(self, asking: Asking, now: float) -> None:
         self._change(asking, now, "evacuate", [asking.segment, True])
 
@@ -125,16 +129,9 @@
 
     def _call_snapshot(self, asking: Asking, now: float) -> None:
         """All that is agreed and has to outlast the core, as one object."""
-        def with_world(got: list) -> None:
-            if (world := got[0]) is None:
-                return self.desk.answer(asking, fault(503, "no majority answers"))
-            if not (digest := world["digest"]):
-                return self.desk.answer(asking, fault(404, "there is no configuration yet"))
-            self.desk.with_content(digest, lambda: self.desk.answer(asking, Reply(200, {
-                "schema": SNAPSHOT, **{name: world[name] for name in KEPT},
-                "configuration": versions.decode(zlib.decompress(self.desk.contents[digest])).unwrap()})))
-
-        self.desk.send(self.desk.store, ["read", self._wait(asking, now, with_world)])
+        self._newest(asking, now, lambda world, held: Reply(200, {
+            "schema": SNAPSHOT, **{name: world[name] for name in KEPT},
+            "configuration": versions.decode(held).unwrap()}))
 
     def _call_revive(self, asking: Asking, now: float) -> None:
         """A snapshot, for a core that was just founded; one that holds anything refuses it."""
--- a/fennelpoint/system/roll/steward.py
+++ b/fennelpoint/system/roll/steward.py
@@ -186,7 +186,9 @@
                 "asked": {tenant: round(rate, 1) for tenant, rate in f.asked.items()},
                 "slack": f.out("slack", "", now),
                 **{kind: {key: f.out(kind, key, now) for key in keys} for kind, keys in kinds.items()}}
-        return {"term": self.term[0], "settled": self.settled(now), "whole": WHOLE, "fronts": fronts}
+        pools = {tenant: {"part": round(pool.part, 3), "units": round(max(0.0, pool.level), 1)}
+                 for tenant, pool in self.pools.items()}
+        return {"term": self.term[0], "settled": self.settled(now), "whole": WHOLE, "fronts": fronts, "pools": pools}
 
     def _ask(self, front: Front, asked: Mapping[str, float], now: float) -> None:
         span = max(0.05, now - front.faded) if front.faded else 0.5
--- a/tests/system/test_tool.py
+++ b/tests/system/test_tool.py
@@ -98,6 +98,12 @@
         assert run("explain", "tenant", "t1", "--core", core, "--json") == tool.DONE
         told = json.loads(capsys.readouterr().out)
     assert told["rate_per_s"] == 20 and 0.5 < told["lent"] <= 1.0 and told["fronts"]["fa"]["part"] > 0.1
+    value["version"], value["base_version"], value["tenants"][0]["rate_per_s"] = 5, 3, 3
+    file.write_text(json.dumps(value))
+    assert run("apply", str(file), "--core", core) == tool.DONE     # thin for three fronts: nobody holds parts of it
+    for _ in range(8):
+        assert run("explain", "tenant", "t1", "--core", core) == tool.DONE
+    assert "drawn from its pool:" in capsys.readouterr().out
     for wrong in (("route", "h", "/x/"), ("route", "nobody", "/r/"), ("tenant", "t9"), ("backend", "s9")):
         assert run("explain", *wrong, "--core", core) == tool.FAULTY
     assert run("watch", "--for", "0.1", "--core", core) == tool.DONE
