--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -51,7 +51,7 @@
 from fennelpoint.standins.hollow import ZONES, Table, configuration
 from fennelpoint.system import versions
 from fennelpoint.system.frames import Unpacker, pack
-from fennelpoint.system.roll.steward import Steward
+from fennelpoint.system.roll.allocator import Allocator
 from fennelpoint.system.roll.view import Backends, Members, Told
 
 PLAY = 4.0      # s that a table is played for a figure
@@ -202,7 +202,7 @@
         gc.collect()
         before = memory()
         for i in range(backends):
-            program.tether.backends.fold(_told(i), time.monotonic())
+            program.session.backends.fold(_told(i), time.monotonic())
         out = {"list_memory": memory() - before}
 
         async def settle() -> None:     # what it left for later turns of the loop
@@ -239,7 +239,7 @@
     rates = {f"tenant-{i:06}": float(rate) for i in range(tenants)}
     gc.collect()
     before, now = memory(), 1000.0
-    made = Steward([1, "me"], (), now)
+    made = Allocator([1, "me"], (), now)
     ips = [Table.ip(i) for i in range(n)]
     made.enrol(ips)
     now += 10.0
--- a/fennelpoint/standins/core_world.py
+++ b/fennelpoint/standins/core_world.py
@@ -35,8 +35,8 @@
 from fennelpoint.system.roll import desk as roll
 from fennelpoint.system.roll.desk import Desk
 from fennelpoint.system.settings import Bounds
-from fennelpoint.system.span import tether as span
-from fennelpoint.system.span.tether import Tether
+from fennelpoint.system.span import core_session as span
+from fennelpoint.system.span.core_session import CoreSession
 from fennelpoint.system.web import Asking, Reply
 from fennelpoint.system.writ import keeper as writ
 from fennelpoint.system.writ.keeper import Store
@@ -82,7 +82,7 @@
     zone: str
     region: str
     up: bool = False
-    tether: Tether | None = None
+    session: CoreSession | None = None
     version: int = 0
     asked: dict[str, float] = field(default_factory=dict)   # a second, by tenant
     drawn: dict[str, list[int]] = field(default_factory=dict)   # units that came, and that were denied, by tenant
@@ -154,7 +154,7 @@
         self._unlink(name("span", ip))
         about = {"address": f"{ip}:80", "zone": front.zone, "region": front.region,
                  "life": self.random.getrandbits(40)}
-        front.tether = Tether(ip, front.zone, front.region, regions, self.seeds, about, self.now,
+        front.session = CoreSession(ip, front.zone, front.region, regions, self.seeds, about, self.now,
                               asked=lambda: {t: 1 for t, rate in front.asked.items()
                                              if self.random.random() < rate * 0.5})
 
@@ -239,7 +239,7 @@
         elif role == "roll":
             self._roll(self.cores[ip], self.cores[ip].desk.heard(source, message, self.now))
         elif self.links.get((to, source), (False, 0.0))[0] or source.startswith("span@"):
-            self._span(self.fronts[ip], self.fronts[ip].tether.heard(source, message, self.now))
+            self._span(self.fronts[ip], self.fronts[ip].session.heard(source, message, self.now))
 
     def _writ(self, core: Core, actions: list) -> None:
         for action in actions:
@@ -302,8 +302,8 @@
                         for tenant, units in told.items():
                             front.drawn.setdefault(tenant, [0, 0])[place] += units
                 case span.Hold(held, _):
-                    front.tether.ready = held
-                    self._span(front, front.tether.say(self.now))
+                    front.session.ready = held
+                    self._span(front, front.session.say(self.now))
 
     # Calls from outside
 
@@ -376,7 +376,7 @@
             if machine.desk_gone and machine.store.gone(self.now):
                 self.kill(ip)
         elif machine.up:
-            self._span(machine, machine.tether.tick(self.now))
+            self._span(machine, machine.session.tick(self.now))
 
     def _beat(self, b: Backend) -> None:
         """Its next beat, where it was told to; else, and after a failure, at the next machine that runs."""
@@ -416,7 +416,7 @@
         wanted |= {(one, other): True for one in writs for other in writs if one != other}
         for front in self.fronts.values():
             if front.up:
-                for peer in front.tether.peers():
+                for peer in front.session.peers():
                     wanted[name("span", front.ip), peer] = wanted[peer, name("span", front.ip)] = True
         for pair in {*wanted, *self.links}:
             one, other = pair
@@ -452,15 +452,15 @@
         elif role == "writ":
             self._writ(self.cores[ip], self.cores[ip].store.linked(ip_of(other), up, self.now))
         elif role == "span":
-            self._span(self.fronts[ip], self.fronts[ip].tether.linked(other, up, self.now))
+            self._span(self.fronts[ip], self.fronts[ip].session.linked(other, up, self.now))
 
     # Rules
 
     def allows(self, front: Front) -> bool:
-        return front.up and front.ip not in self.frozen and front.tether.allows(self.now)
+        return front.up and front.ip not in self.frozen and front.session.allows(self.now)
 
     def _check(self) -> None:
-        using = [f.tether.parts for f in self.fronts.values() if self.allows(f) and self.now < f.tether.parts.until]
+        using = [f.session.parts for f in self.fronts.values() if self.allows(f) and self.now < f.session.parts.until]
         for tenant in TENANTS:
             if (whole := sum(p.quotas.get(tenant, 0) for p in using)) > 1000:
                 raise Broken(f"{self.now:.2f}: {whole} thousandths of {tenant}'s quota are in use")
@@ -469,10 +469,10 @@
         for id in {id for p in using for id in p.cold}:
             if (whole := sum(p.cold.get(id, 0) for p in using)) > 12:
                 raise Broken(f"{self.now:.2f}: {whole} tries a second at cold {id}")
-        leads = [c.ip for c in self.cores.values() if c.up and c.desk.steward is not None
+        leads = [c.ip for c in self.cores.values() if c.up and c.desk.allocator is not None
                  and c.desk.duty.holds(self.now) and self.now - c.desk.read_at < 1.0]
-        if len({c.desk.steward.term[0] for c in self.cores.values() if c.ip in leads}) > 1 and not any(
-                c.desk.world["term"] > c.desk.steward.term[0] for c in self.cores.values() if c.ip in leads):
+        if len({c.desk.allocator.term[0] for c in self.cores.values() if c.ip in leads}) > 1 and not any(
+                c.desk.world["term"] > c.desk.allocator.term[0] for c in self.cores.values() if c.ip in leads):
             self.both += STEP
         else:
             self.both = 0.0
@@ -573,7 +573,7 @@
             case ["draw", ip, tenant, units]:
                 front = self.fronts[ip]
                 front.drawn.pop(tenant, None)
-                self._span(front, front.tether.draw({tenant: int(units)}, self.now))
+                self._span(front, front.session.draw({tenant: int(units)}, self.now))
             case ["claim", ip, term]:   # it holds the duty, as by voters that none of the others goes by
                 desk = self.cores[ip].desk
                 desk.duty.term, desk.duty.held_until, desk.duty.claimed_at = (int(term), ip), self.now + 1.0, self.now
@@ -588,7 +588,7 @@
 
     def _these(self, ips: list[str]) -> list[str]:
         if "reckoner" in ips:
-            (self.marked,) = (c.ip for c in self.cores.values() if c.up and c.desk.steward is not None)
+            (self.marked,) = (c.ip for c in self.cores.values() if c.up and c.desk.allocator is not None)
         groups = {"core": list(self.cores), "fronts": list(self.fronts), "all": [*self.cores, *self.fronts],
                   "reckoner": [self.marked], "marked": [self.marked],
                   "others": [ip for ip in self.cores if ip != self.marked]}
@@ -612,7 +612,7 @@
             case ["version", ip, number]:
                 return self.fronts[ip].version == int(number)
             case ["evacuated", ip, *zones]:
-                return self.fronts[ip].tether.evac == frozenset(zones)
+                return self.fronts[ip].session.evac == frozenset(zones)
             case ["voters", ip, *ips]:
                 return set(self.cores[ip].store.world.get("voters", ())) == set(self._these(ips))
             case ["up", ip, word]:
@@ -623,7 +623,7 @@
                 core = self.cores[ip]
                 return (core.store.keeper.votes and not core.store.ill) is (word == "yes")
             case ["sees", ip, backend, state]:
-                b = self.fronts[ip].tether.backends.known.get(backend)
+                b = self.fronts[ip].session.backends.known.get(backend)
                 return state == ("none" if b is None else "lost" if b.lost else b.told.state)
             case ["losses", *ids]:  # of backends that live
                 return sorted(set(self.losses)) == ids
@@ -633,13 +633,13 @@
                 b = self.cores[ip].desk.backends.known.get(backend)
                 return state == ("none" if b is None else "lost" if b.lost else b.told.state)
             case ["parts", ip, tenant, least, most]:
-                return int(least) <= self.fronts[ip].tether.parts.quotas.get(tenant, 0) <= int(most)
+                return int(least) <= self.fronts[ip].session.parts.quotas.get(tenant, 0) <= int(most)
             case ["drawn", ip, tenant, units, denied]:
                 return self.fronts[ip].drawn.get(tenant, [0, 0]) == [int(units), int(denied)]
             case ["cold", ip, backend, least, most]:
-                return int(least) <= self.fronts[ip].tether.parts.cold.get(backend, 0) <= int(most)
+                return int(least) <= self.fronts[ip].session.parts.cold.get(backend, 0) <= int(most)
             case ["reckons", word]:
-                leads = [c.ip for c in self.cores.values() if c.up and c.desk.steward is not None]
+                leads = [c.ip for c in self.cores.values() if c.up and c.desk.allocator is not None]
                 return len(leads) == (0 if word == "none" else 1) and word in ("none", "one", *leads)
             case ["agreed", *what]:
                 votes = [c.store.world for c in self.cores.values() if c.up and c.store.world]
--- a/fennelpoint/standins/hollow.py
+++ b/fennelpoint/standins/hollow.py
@@ -1,6 +1,6 @@
 """Hollow fronts before one real core machine, in simulated time: what each role spends, by kind of message.
 
-The deciders are the real ones: `Desk` and `Store` of a core machine, a `Tether` for each front.  There are no
+The deciders are the real ones: `Desk` and `Store` of a core machine, a `CoreSession` for each front.  There are no
 sockets: messages go through the frames that processes send, and each role is charged the processor time of packing,
 reading and deciding its own.  So bytes and messages are exact, and time depends little on what else the
 machine does.
@@ -26,7 +26,7 @@
 from fennelpoint.system.roll.desk import Save as Rows
 from fennelpoint.system.roll.view import READY, Told
 from fennelpoint.system.settings import Bounds
-from fennelpoint.system.span.tether import Hold, Tether
+from fennelpoint.system.span.core_session import CoreSession, Hold
 from fennelpoint.system.web import Asking
 from fennelpoint.system.writ.keeper import FOUNDED, KEY, ROLL, Save, SaveContent, Send, Store, Whole
 from fennelpoint.system.writ.world import empty
@@ -101,7 +101,7 @@
         self.store = Store(self.me, zone, ZONES, [self.me], keeper, True, self.contents.get, Random(1), self.now)
         self.desk = Desk(self.me, zone, ZONES[zone], ZONES, [self.me], 8200, Bounds(), BEAT, 1, True, self.now)
         self.replies: list[int] = []
-        self.fronts: dict[str, Tether] = {}
+        self.fronts: dict[str, CoreSession] = {}
         self.asks: set[str] = set()     # fronts whose asks come here; the others hold a connection only
         self.applied: dict[str, float] = {}
         self.hearsay = [self.ip(i) for i in range(asking, fronts)]
@@ -136,11 +136,11 @@
         """A front comes, or comes back as another life."""
         zone = f"z{len(self.fronts) % 65:02}"
         about = {"address": f"{ip}:8206", "zone": zone, "region": ZONES[zone], "life": self.random.getrandbits(40)}
-        tether = self.fronts[ip] = Tether(ip, zone, ZONES[zone], ZONES, [self.me], about, self.now,
+        session = self.fronts[ip] = CoreSession(ip, zone, ZONES[zone], ZONES, [self.me], about, self.now,
                                           asked=lambda: {"tenant-000000": 1})
         self.asks.add(ip) if asks else self.asks.discard(ip)
         self._core("roll", "linked", lambda: self.desk.linked(name("span", ip), True, self.now))
-        self._front(ip, "linked", lambda: tether.linked(name("roll", self.me), True, self.now))
+        self._front(ip, "linked", lambda: session.linked(name("roll", self.me), True, self.now))
 
     # What comes from outside
 
@@ -264,9 +264,9 @@
             elif role == "writ":
                 self._core("writ", message[0], lambda m=message: self.store.heard(ROLL, m, self.now))
             else:
-                tether = self.fronts[ip]
-                before = tether.goes_by
-                self._front(ip, message[0], lambda m=message, s=source, t=tether: t.heard(s, m, self.now))
-                if tether.goes_by != before:
+                session = self.fronts[ip]
+                before = session.goes_by
+                self._front(ip, message[0], lambda m=message, s=source, t=session: t.heard(s, m, self.now))
+                if session.goes_by != before:
                     self.applied[ip] = self.now
         self.queue = kept
--- a/fennelpoint/standins/hollow_site.py
+++ b/fennelpoint/standins/hollow_site.py
@@ -1,8 +1,8 @@
 """Real core machines and fronts on loopback, with hollow fronts and backends at their sockets, many to a process.
 
-A hollow front is the real decider of a front's ties, `Tether`, over lean connections; it takes the list's numbers and
-leaves what stands in it.  A hollow backend beats over one kept HTTP connection.  `play` is the whole; a process of
-hollow ones is this module run with what it is to hold, told by lines on its stdin.
+A hollow front is the real decider of a front's ties, `CoreSession`, over lean connections; it takes the list's
+numbers and leaves what stands in it.  A hollow backend beats over one kept HTTP connection.  `play` is the whole; a
+process of hollow ones is this module run with what it is to hold, told by lines on its stdin.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 from fennelpoint.standins.system_demo import ZONES, Site, until
 from fennelpoint.system.frames import BadFrame, Unpacker, pack
 from fennelpoint.system.mesh import ip_of
-from fennelpoint.system.span.tether import Apply, Hold, Send, Tether
+from fennelpoint.system.span.core_session import Apply, CoreSession, Hold, Send
 
 BEAT, PING, AGAIN = 1.5, 0.7, 0.5   # s
 LOOKS, LOOK = 5, 0.1                # parts in which fronts look at their clocks in turn; s between looks of one
@@ -44,7 +44,7 @@
         self.transport = transport
         transport.write(pack(["hello", f"span@{self.front.ip}"]))
         self.front.lines[self.peer] = self
-        self.front.carry_out(self.front.tether.linked(self.peer, True, time.monotonic()))
+        self.front.carry_out(self.front.session.linked(self.peer, True, time.monotonic()))
 
     def data_received(self, data: bytes) -> None:
         self.front.holder.got += len(data)
@@ -62,7 +62,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         if self.front.lines.get(self.peer) is self:
             del self.front.lines[self.peer]
-            self.front.carry_out(self.front.tether.linked(self.peer, False, time.monotonic()))
+            self.front.carry_out(self.front.session.linked(self.peer, False, time.monotonic()))
 
 
 class HollowFront:
@@ -81,12 +81,12 @@
         self.lines = {}
         about = {"address": f"{self.ip}:8206", "zone": self.zone, "region": ZONES[self.zone],
                  "life": random.getrandbits(40)}
-        self.tether = Tether(self.ip, self.zone, ZONES[self.zone], ZONES, self.holder.seeds, about, time.monotonic(),
-                             asked=lambda: {"tenant-000000": 1})
+        self.session = CoreSession(self.ip, self.zone, ZONES[self.zone], ZONES, self.holder.seeds, about,
+                                   time.monotonic(), asked=lambda: {"tenant-000000": 1})
 
     def tick(self, now: float) -> None:
-        self.carry_out(self.tether.tick(now))
-        for peer in self.tether.peers():
+        self.carry_out(self.session.tick(now))
+        for peer in self.session.peers():
             if peer not in self.lines and peer not in self.dialling and peer.startswith("roll@"):
                 self.dialling.add(peer)
                 self.holder.keep(self._dial(peer))
@@ -105,11 +105,11 @@
     def take(self, peer: str, message: list) -> None:
         self.holder.kinds[message[0]] += 1
         if message[0] == "list":
-            self.tether.number = message[2]
+            self.session.number = message[2]
             if message[4]:
-                self.tether.lists.add(peer)
+                self.session.lists.add(peer)
         elif message[0] != "ping":
-            self.carry_out(self.tether.heard(peer, message, time.monotonic()))
+            self.carry_out(self.session.heard(peer, message, time.monotonic()))
 
     def carry_out(self, actions: list) -> None:
         for action in actions:
@@ -121,8 +121,8 @@
                     self.holder.applied.setdefault(version, []).append(time.monotonic())
                 case Hold(held, _):
                     self.holder.lapsed += not held
-                    self.tether.ready = held
-                    self.carry_out(self.tether.say(time.monotonic()))
+                    self.session.ready = held
+                    self.carry_out(self.session.say(time.monotonic()))
 
 
 class HollowBackend(asyncio.Protocol):
@@ -213,7 +213,7 @@
 
     def told(self) -> dict:
         now = time.monotonic()
-        return {"held": sum(f.tether.allows(now) for f in self.fronts),
+        return {"held": sum(f.session.allows(now) for f in self.fronts),
                 "lines": sum(len(f.lines) for f in self.fronts), "sent": self.sent,
                 "got": self.got, "kinds": self.kinds, "failed": self.failed, "beats": self.beats,
                 "applied": {v: [len(at), max(at)] for v, at in self.applied.items()}, "lapsed": self.lapsed}
--- a/fennelpoint/system/roll/steward.py
+++ b/fennelpoint/system/roll/allocator.py
@@ -79,7 +79,7 @@
     part_at: float = -1e9   # when that was last reckoned
 
 
-class Steward:
+class Allocator:
     """The reckoner of one term."""
 
     def __init__(self, term: list, fronts: Iterable[str], now: float) -> None:
--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -14,11 +14,11 @@
 from fennelpoint.system.incarnation import first_number
 from fennelpoint.system.leaving import Leaving, within
 from fennelpoint.system.mesh import ip_of, name
+from fennelpoint.system.roll.allocator import HOLD, Allocator
 from fennelpoint.system.roll.contact import Contact
 from fennelpoint.system.roll.duty import SPAN, Duty
 from fennelpoint.system.roll.office import Office
 from fennelpoint.system.roll.roster import Roster
-from fennelpoint.system.roll.steward import HOLD, Steward
 from fennelpoint.system.roll.view import DRAINING, GONE, LOST_AFTER, READY, SPOKE, Backends, Members, Told
 from fennelpoint.system.roll.waits import Answer, Held, Save, fault
 from fennelpoint.system.settings import Bounds
@@ -78,7 +78,7 @@
         self.about: dict[str, dict] = {}        # what fronts that are connected said of themselves
         # A first start: nothing was granted before.
         self.duty = Duty(me, now if first else now + SPAN, first_number(life))
-        self.steward: Steward | None = None     # while the duty of reckoning parts is ours
+        self.allocator: Allocator | None = None     # while the duty of reckoning parts is ours
         self.leading: tuple[int, float] | None = None   # the call for our term's number, and when to call again
         self.read_at = -1e9     # when the newest read that ended began
         self.roster = Roster()  # of our term
@@ -122,9 +122,9 @@
             self.out.append(Note("STOP", {"node": self.me}))
             for held in self.calls.values():
                 held.until = min(held.until, now + CALLS_END * self.leaving.most)
-            if self.steward is not None:
+            if self.allocator is not None:
                 self.out.append(Note("YIELDS", {"node": self.me, "reason": "it leaves"}))
-            self.steward = None
+            self.allocator = None
             self.duty.resign()
             self._duties(now)
             self._gossip(now)
@@ -171,7 +171,7 @@
             self.roster.forgotten()
             if self.reading is not None:    # it did not hear of it: those that wait need not ask again
                 self.asks, self.reading = self.reading[2] + self.asks, None
-            self._read(now, own=self.steward is not None)
+            self._read(now, own=self.allocator is not None)
         return self._done()
 
     def tick(self, now: float) -> list:
@@ -489,7 +489,7 @@
         self._read(now)
         if want and self.duty.holder is not None:
             ask = ["want", ip_of(peer), about["life"], about["region"], number, *want]
-            if self.steward is not None:
+            if self.allocator is not None:
                 self._on_want(name("roll", self.me), now, *ask[1:])
             else:
                 self.send(name("roll", self.duty.holder[1]), ask)
@@ -499,8 +499,8 @@
     def _duties(self, now: float) -> None:
         whole = self._quorum({self.me, *self.links})
         line = sorted(self.world["voters"]) if self.world else []
-        if self.steward is not None and not self.duty.holds(now):
-            self.steward = None
+        if self.allocator is not None and not self.duty.holds(now):
+            self.allocator = None
             self.duty.leave()
             self.out.append(Note("YIELDS", {"node": self.me, "reason": "no majority grants it any more"}))
         claims = self.me in line and not self.leaving
@@ -515,14 +515,14 @@
                 self.send(peer, ["released", list(self.duty.left), self.duty.claims])
             self.duty.released(self.duty.left, self.duty.claims, now)
             self.duty.left = None
-        if self.steward is not None and now - self.read_at > HOLD / 3:
+        if self.allocator is not None and now - self.read_at > HOLD / 3:
             self._read(now, own=True)
         if self.leading is not None and now >= self.leading[1]:
             self.leading = None
             if self.duty.holds(now):
                 self._lead(now)
-        if self.steward is not None and (
-                due := self.roster.due(self.steward, self.world["fronts"], self.tokens + 1, now)) is not None:
+        if self.allocator is not None and (
+                due := self.roster.due(self.allocator, self.world["fronts"], self.tokens + 1, now)) is not None:
             self.tokens += 1
             self.send(self.store, ["change", self.tokens, *due, b""])
             if due[0] == "dismiss":
@@ -559,7 +559,7 @@
         sent, self.leading = self.leading[1] - LEAD_AGAIN, None
         if self.duty.holds(now) and world["term"] == self.world["term"]:
             # The term was the newest at some time after it was asked for, which may be long before this answer.
-            self.steward, self.read_at = Steward([world["term"], self.me], world["fronts"], now), sent
+            self.allocator, self.read_at = Allocator([world["term"], self.me], world["fronts"], now), sent
             self.roster = Roster()
             self.out.append(Note("LEADS", {"node": self.me, "term": world["term"]}))
             self._call_fronts(now)
@@ -567,21 +567,21 @@
     def _call_fronts(self, now: float) -> None:
         """All fronts are to ask now: we have begun, or know by now what is lent."""
         for peer in self.others:
-            self.send(peer, ["leads", self.steward.term])
-        self._on_leads(self.me, now, self.steward.term)
+            self.send(peer, ["leads", self.allocator.term])
+        self._on_leads(self.me, now, self.allocator.term)
 
     def _on_want(self, peer: str, now: float, ip: str, life: int, region: str, number: int, seen: list, asked: dict,
                  holds: list | None) -> None:
         """A front's ask for parts, to whoever reckons them, by way of the registry that it asks."""
         # Guards parts against a reckoner that another has followed: voters change, so that two may hold the duty.
-        if self.steward is None or not self.duty.holds(now) or now - self.read_at > HOLD:
+        if self.allocator is None or not self.duty.holds(now) or now - self.read_at > HOLD:
             return
         if not self.roster.admits(ip, self.world["fronts"]):
             return
-        self.steward.enrol([ip], now)
-        before = self.steward.settled(now)
-        grant = self.steward.want(ip, life, region, seen, asked, holds, self.rates, self._cold(now), now)
-        term = self.steward.term
+        self.allocator.enrol([ip], now)
+        before = self.allocator.settled(now)
+        grant = self.allocator.want(ip, life, region, seen, asked, holds, self.rates, self._cold(now), now)
+        term = self.allocator.term
         if grant is None:
             answer = ["tell", ip, term]
         elif [term, grant.number] == seen:
@@ -592,26 +592,26 @@
             self._hand_on(answer)
         else:
             self.send(peer, answer)
-        if not before and self.steward.settled(now):
+        if not before and self.allocator.settled(now):
             self._call_fronts(now)
 
     def _on_draw(self, peer: str, now: float, number: int, needs: dict) -> None:
         """A front asks for units of tenants that have no part there."""
-        if self.steward is not None:
+        if self.allocator is not None:
             self._on_drawn(name("roll", self.me), now, ip_of(peer), number, needs)
         elif self.duty.holder is not None:
             self.send(name("roll", self.duty.holder[1]), ["drawn", ip_of(peer), number, needs])
 
     def _on_drawn(self, peer: str, now: float, ip: str, number: int, needs: dict) -> None:
-        if self.steward is None or not self.duty.holds(now) or now - self.read_at > HOLD:
+        if self.allocator is None or not self.duty.holds(now) or now - self.read_at > HOLD:
             return
         # Guards a lower limit: units by the one before it are none of ours to give for long.
         if self.figured != self.world["digest"] and now - self.behind > FIGURES:
             return
-        drawn = self.steward.draw(ip, needs, self.rates, self.bursts, self.bounds.quota_slack, now)
+        drawn = self.allocator.draw(ip, needs, self.rates, self.bursts, self.bounds.quota_slack, now)
         if drawn is None:
             return
-        answer = ["units", ip, number, self.steward.term, *drawn]
+        answer = ["units", ip, number, self.allocator.term, *drawn]
         if ip_of(peer) == self.me:
             self._hand_on(answer)
         else:
@@ -685,8 +685,8 @@
         was = self.world.get("digest", "")
         moved = not self.world or self.core != {**world["ready"], **world["voters"]}
         self.world = world
-        if self.steward is not None and world["term"] > self.steward.term[0]:
-            self.steward = None
+        if self.allocator is not None and world["term"] > self.allocator.term[0]:
+            self.allocator = None
             self.duty.leave()
             self.out.append(Note("YIELDS", {"node": self.me, "reason": f"term {world['term']} has begun"}))
         if was in ("", self.figured) and world["digest"] != self.figured:
--- a/fennelpoint/system/roll/office.py
+++ b/fennelpoint/system/roll/office.py
@@ -12,8 +12,8 @@
 from result import Err, Result
 
 from fennelpoint.system import versions
+from fennelpoint.system.roll.allocator import Allocator
 from fennelpoint.system.roll.duty import SPAN, Duty
-from fennelpoint.system.roll.steward import Steward
 from fennelpoint.system.roll.view import DRAINING, Backends, Members
 from fennelpoint.system.roll.waits import Held, fault
 from fennelpoint.system.web import Asking, Reply
@@ -46,7 +46,7 @@
     members: Members
     backends: Backends
     duty: Duty
-    steward: Steward | None
+    allocator: Allocator | None
 
     def in_touch(self, now: float) -> bool: ...
     def answer(self, asking: Asking, reply: Reply) -> None: ...
@@ -190,8 +190,8 @@
     def _call_parts(self, asking: Asking, now: float) -> None:
         """Who holds which parts, told by who reckons them; elsewhere, where that is."""
         desk = self.desk
-        if desk.steward is not None and desk.duty.holds(now):
-            return desk.answer(asking, Reply(200, {"node": desk.me, **desk.steward.told(now)}))
+        if desk.allocator is not None and desk.duty.holds(now):
+            return desk.answer(asking, Reply(200, {"node": desk.me, **desk.allocator.told(now)}))
         if (holder := desk.duty.holder) is None or now - desk.duty.holder_at >= SPAN or holder[1] == desk.me:
             return desk.answer(asking, fault(503, "nobody reckons parts"))
         desk.answer(asking, Reply(307, {}, headers=[("Location", f"http://{holder[1]}:{desk.port}/api/parts")]))
--- a/fennelpoint/system/roll/roster.py
+++ b/fennelpoint/system/roll/roster.py
@@ -11,7 +11,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from fennelpoint.system.roll.steward import Steward
+from fennelpoint.system.roll.allocator import Allocator
 
 PACE = 0.4          # s between enrolments
 BATCH = 5.0         # s between dismissals
@@ -46,7 +46,7 @@
         self.waiting.add(ip)
         return False
 
-    def due(self, steward: Steward, enrolled: Collection[str], token: int, now: float) -> tuple[str, list] | None:
+    def due(self, allocator: Allocator, enrolled: Collection[str], token: int, now: float) -> tuple[str, list] | None:
         """The change to propose now by this token, if there is one: its kind, and what it is made of."""
         if self.proposal is not None and now < self.proposal.until:
             return None
@@ -56,10 +56,10 @@
             return self._propose("enrol", self.waiting, [], token, now)
         if now >= self.dismiss_at:
             self.dismiss_at = now + BATCH
-            steward.enrol([ip for ip in enrolled if ip not in self.barred], now)    # some may never have asked
-            self.barred = (self.barred & set(enrolled)) | steward.dismiss(now)
+            allocator.enrol([ip for ip in enrolled if ip not in self.barred], now)    # some may never have asked
+            self.barred = (self.barred & set(enrolled)) | allocator.dismiss(now)
             if gone := {ip for ip in self.barred if ip in enrolled and ip not in self.waiting}:
-                return self._propose("dismiss", gone, [steward.term[0]], token, now)
+                return self._propose("dismiss", gone, [allocator.term[0]], token, now)
         return None
 
     def _propose(self, kind: str, fronts: Collection[str], rest: list, token: int, now: float) -> tuple[str, list]:
--- a/fennelpoint/system/span/tether.py
+++ b/fennelpoint/system/span/core_session.py
@@ -12,7 +12,7 @@
 from fennelpoint.system.actions import Send
 from fennelpoint.system.incarnation import first_number
 from fennelpoint.system.mesh import ip_of, name
-from fennelpoint.system.roll.steward import DRAW_LIFE, LIFE
+from fennelpoint.system.roll.allocator import DRAW_LIFE, LIFE
 from fennelpoint.system.roll.view import Backends, Told
 
 RENEW = 0.5         # s between asks
@@ -57,7 +57,7 @@
 
 @dataclass(slots=True)
 class Lend:
-    """Go by these parts from now on; they are in `Tether.parts`."""
+    """Go by these parts from now on; they are in `CoreSession.parts`."""
 
 
 @dataclass(slots=True)
@@ -71,7 +71,7 @@
 
 
 @dataclass(slots=True)
-class Tether:
+class CoreSession:
     """What one front holds."""
 
     me: str
--- a/fennelpoint/system/span/host.py
+++ b/fennelpoint/system/span/host.py
@@ -7,7 +7,7 @@
 from fennelpoint import interface as api
 from fennelpoint.net.backends import Answer, Backends, Exchange, UpstreamConnection
 from fennelpoint.net.host import Host, Ticket
-from fennelpoint.system.span.decide import Need
+from fennelpoint.system.span.events import UnitsNeeded
 
 KEPT_PART = 0.6     # of the time that a backend keeps an idle connection
 OVER = 429
@@ -62,7 +62,7 @@
     def __init__(self, *arguments: object) -> None:
         self.need: Callable[[int, float], None] = lambda customer, units: None
         super().__init__(*arguments)
-        self._do[Need] = lambda a: self.need(a.customer, a.units)
+        self._do[UnitsNeeded] = lambda a: self.need(a.customer, a.units)
 
     @staticmethod
     def _passed_on(ticket: Ticket) -> Answer | None:
--- /dev/null
+++ b/fennelpoint/system/span/leased_quotas.py
@@ -0,0 +1,128 @@
+"""Admission by shares of quotas that the registry leases, and by units of a pool where shares are too thin."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Set
+from dataclasses import replace
+from math import inf
+
+from fennelpoint import interface as api
+from fennelpoint.quotas import EVEN, Quotas
+from fennelpoint.state import Customer, Try
+from fennelpoint.system.span.events import UnitsGranted
+from fennelpoint.upkeep import Ground
+
+FRESH = 1.0         # s of an own share that a process has saved up when it begins
+DENIED, FORGET_NEED = 2.0, 5.0  # s that one counts as over its quota after a denial; that an ask is remembered
+
+
+class LeasedQuotas(Quotas):
+    """Quotas by the parts that the core lends: one that is not told is none."""
+
+    def __init__(self, ground: Ground) -> None:
+        super().__init__(ground)
+        self.shares: dict[int, float] = {}
+        self.leased = self.pools = False
+        self.granted: dict[int, deque] = {}       # units of the pool, by customer: until when, and how many
+        self.needed: dict[int, float] = {}      # tries that units were asked for, and when
+        self.denied_at: dict[int, float] = {}   # when the pool last had none, by customer
+        self.soon: Set[int] = frozenset()       # who was denied for a moment only
+
+    def thin(self, c: Customer) -> bool:
+        """Whether it has no part of its own here: too many fronts share too little, and each try asks the pool."""
+        return self.pools and c.share == 0.0 and self.settings.plans[c.plan].rate > 0.0
+
+    def pooled(self, key: int, now: float) -> float:
+        """Units of the pool that are here."""
+        held = self.granted.get(key)
+        while held and held[0][0] < now:
+            held.popleft()
+        return sum(units for _, units in held) if held else 0.0
+
+    def room(self, t: Try, now: float) -> bool:
+        if not self.thin(t.customer):
+            return super().room(t, now)
+        return t.inside is None and self.pooled(t.customer.key, now) >= t.ask.units
+
+    def take(self, t: Try, inside: bool, now: float) -> None:
+        super().take(t, inside, now)
+        self.needed.pop(t.ask.request, None)
+        left = t.ask.units if inside and self.thin(t.customer) else 0.0
+        held = self.granted.get(t.customer.key)
+        while left > 0.0 and held:
+            until, units = held.popleft()
+            if units > left:
+                held.appendleft((until, units - left))
+            left -= units
+
+    def wait(self, t: Try, ahead: float, now: float) -> float:
+        return 0.0 if self.thin(t.customer) else super().wait(t, ahead, now)
+
+    def own_rate(self, c: Customer, now: float) -> float:
+        """Of one in the pool no front knows its part: it is over its quota where the pool has denied it lately."""
+        if not self.thin(c):
+            return super().own_rate(c, now)
+        return 0.0 if now - self.denied_at.get(c.key, -inf) < DENIED else self.settings.plans[c.plan].rate
+
+    def over(self, t: Try) -> bool:
+        """Whether it was refused because its tenant asks for more than its quota."""
+        if self.thin(t.customer):
+            return t.inside is False
+        return not t.charged and self.settings.plans[t.customer.plan].rate > 0.0 and t.customer.level < t.ask.units
+
+    def need(self, t: Try, now: float) -> bool:
+        """Whether units are to be asked for it: once."""
+        if t.charged or t.ask.request in self.needed or not self.thin(t.customer):
+            return False
+        self.needed[t.ask.request] = now
+        while self.needed and now - next(iter(self.needed.values())) > FORGET_NEED:
+            del self.needed[next(iter(self.needed))]    # guards the memory: its client has gone
+        return True
+
+    def grant(self, event: UnitsGranted, now: float) -> list[Try]:
+        """Units have come; the tries for which there are none, the cheapest and latest ones."""
+        for key, units in event.units.items():
+            self.granted.setdefault(key, deque()).append((event.until, units))
+        out, self.soon = [], event.soon
+        for key, units in event.denied.items():
+            if key not in event.soon:
+                self.denied_at[key] = now
+            waiting = [t for t in self.line.held.values() if t.customer.key == key and t.ask.request in self.needed]
+            for t in sorted(waiting, key=lambda t: (t.worth, -t.ask.request)):
+                if units <= 0.0:
+                    break
+                units, t.inside = units - t.ask.units, False
+                out.append(t)
+        return out
+
+    def lease(self, shares: dict[int, float], pools: bool, now: float) -> None:
+        """What is taken back is gone at once; what is given fills with time."""
+        fresh = bool(shares) and not self.leased
+        self.leased, self.shares, self.pools = self.leased or fresh, shares, pools
+        for c in self.customers.values():
+            if fresh:   # nobody else was lent our part while we started; a second of it at most
+                c.filled = max(self.ground.born, now - FRESH)
+            else:
+                self.fill(c, now)
+            c.share = shares.get(c.key, 0.0)
+            c.level = min(c.level, self.depth(c))
+
+    def change(self, classes: list[api.RequestClass], plans: list[api.Plan], now: float) -> None:
+        """Other figures: what came in by now came by those before, and no store holds more than they allow."""
+        for c in self.customers.values():
+            self.fill(c, now)
+        self.ground.settings = replace(self.settings, classes=classes, plans=plans)
+        self.odds = [[EVEN] * len(classes) for _ in plans]
+        for c in self.customers.values():
+            c.level = min(c.level, self.depth(c))
+
+    def customer(self, ask: api.Request, now: float) -> Customer:
+        if (c := self.customers.pop(ask.customer, None)) is None:
+            plan, share = self.settings.plans[ask.plan], self.shares.get(ask.customer, 0.0)
+            # Guards the sum over a restart: what the process before took is not known, so it starts with what
+            # came in since.
+            c = Customer(ask.customer, ask.plan, 1.0, share, 0.0, store=plan.burst, filled=self.ground.born,
+                         total_at=now, count_at=inf)
+        self.customers[ask.customer], c.seen, c.plan = c, now, ask.plan
+        return c
--- /dev/null
+++ b/fennelpoint/system/span/placement.py
@@ -0,0 +1,75 @@
+"""The choice of a backend: the least expected time till the answer, distance included, among those with a slot."""
+
+from __future__ import annotations
+
+from collections import deque
+from math import inf
+
+from fennelpoint import interface as api
+from fennelpoint.cells.confined import Confined
+from fennelpoint.selection import FIRST_GUESS
+from fennelpoint.state import Backend, Crowd, Try
+from fennelpoint.system.span.events import BackendPlaces
+from fennelpoint.upkeep import Ground, allowed
+
+QUEUE = 1.0         # of a backend's slots, own attempts out beyond them
+SECOND = 1.02       # s in which a cold backend's requests are counted, with what timers and clocks are off
+WINDOW_LEAST = 2.0  # attempts out that a service's window always allows
+NOISE = 0.15        # of a usual latency, that a choice varies by chance: proxies don't see each other's requests
+
+
+class NearestBackend(Confined):
+    """The least expected time till the answer, distance included, among backends with a slot."""
+
+    def __init__(self, ground: Ground) -> None:
+        super().__init__(ground)
+        self.places = BackendPlaces({}, {}, {})
+        self.sent_cold: dict[object, deque] = {}    # when tries were sent to a cold backend
+
+    def take(self, event: BackendPlaces) -> None:
+        self.places = event
+        self.sent_cold = {key: sent for key, sent in self.sent_cold.items() if key in event.slots}
+
+    def learn_of(self, classes: list[api.RequestClass]) -> None:
+        """Classes from now on; one that is new starts as all do."""
+        for cls in classes[len(self.typical):]:
+            self.typical.append(FIRST_GUESS * cls.aim)
+            self.usual.append(FIRST_GUESS * cls.aim)
+
+    def choose(self, t: Try, now: float) -> Backend | None:
+        if not allowed(t, self.settings, now):
+            return None
+        best, least = None, inf
+        typical = self.typical[t.ask.cls]
+        for b in self.ready(t.crowd):
+            key = b.entry.backend
+            if now < b.rest_until or t.avoid == key:
+                continue
+            slots, out = self.places.slots.get(key, 1), len(b.out)
+            if out >= slots * (1.0 + QUEUE):
+                continue
+            until, most = self.places.cold.get(key, (0.0, 0))
+            slow = self.slowness(b, now)
+            if now < until:
+                if self._sent_lately(key, now) >= most:
+                    continue
+                slow *= 1.5
+            crowd = out * max(1.0, 0.5 * self.places.sharers) / slots
+            span, part = self.places.far.get(key, (0.0, 0.0))
+            cost = span + typical * (part + slow * (1.0 + crowd * crowd + NOISE * self.random.random()))
+            if cost < least:
+                best, least = b, cost
+        if best is not None and now < self.places.cold.get(best.entry.backend, (0.0, 0))[0]:
+            self.sent_cold.setdefault(best.entry.backend, deque()).append(now)
+        return best
+
+    def _sent_lately(self, key: object, now: float) -> int:
+        sent = self.sent_cold.get(key, ())
+        while sent and sent[0] < now - SECOND:
+            sent.popleft()
+        return len(sent)
+
+    def press(self, crowd: Crowd, ratio: float, latency: float, now: float) -> None:
+        super().press(crowd, ratio, latency, now)
+        crowd.window = max(WINDOW_LEAST, crowd.window)
+        crowd.rest_until = min(crowd.rest_until, now)
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -1,4 +1,4 @@
-"""The process of a front: the present server, host and pools, told by `tether.Tether` what holds."""
+"""The process of a front: the present server, host and pools, told by `core_session.CoreSession` what holds."""
 
 from __future__ import annotations
 
@@ -17,13 +17,15 @@
 from fennelpoint.state import Cut
 from fennelpoint.system.events import Event, say
 from fennelpoint.system.mesh import Mesh
-from fennelpoint.system.roll.steward import WHOLE
+from fennelpoint.system.roll.allocator import WHOLE
 from fennelpoint.system.roll.view import DRAINING, GONE
 from fennelpoint.system.settings import Settings, address
-from fennelpoint.system.span.decide import OVER_ADVICE, Catalogue, Decider, Given, Places, Shares
+from fennelpoint.system.span.brief_waiting import OVER_ADVICE
+from fennelpoint.system.span.core_session import Apply, CoreSession, Hold, Lend, Refresh, Send, Units
+from fennelpoint.system.span.decider import Decider
+from fennelpoint.system.span.events import BackendPlaces, Catalogue, LeasedShares, UnitsGranted
 from fennelpoint.system.span.host import SystemBackends, SystemHost
 from fennelpoint.system.span.reader import SystemReader
-from fennelpoint.system.span.tether import Apply, Hold, Lend, Refresh, Send, Tether, Units
 from fennelpoint.system.versions import compile_version
 from fennelpoint.system.web import Asking, Reply, Web
 
@@ -62,7 +64,7 @@
         self.server = Server(loop, self.host, room, self.life, self.reader)
         about = {"address": ":".join(map(str, listen.public_http)), "zone": settings.availability_zone,
                  "region": settings.region, "life": self.random.getrandbits(40)}
-        self.tether = Tether(settings.ip_address, settings.availability_zone, settings.region, settings.zones,
+        self.session = CoreSession(settings.ip_address, settings.availability_zone, settings.region, settings.zones,
                              settings.seeds, about, time.monotonic(), asked=self.reader.take_asked)
         self.mesh = Mesh(loop, "span", settings.ip_address, settings.internal_ports, self.take, self.linked, AGAIN)
         self.web = Web(loop, self.call)
@@ -73,7 +75,7 @@
         self.look = Leaving(loop, self.life, self.server, self.host, self._end).look
 
     def allows(self) -> bool:
-        return self.tether.allows(time.monotonic())
+        return self.session.allows(time.monotonic())
 
     async def start(self) -> None:
         listen = self.settings.listen_addresses
@@ -91,14 +93,14 @@
 
     def _tick(self) -> None:
         self.loop.call_later(TICK, self._tick)
-        self.carry_out(self.tether.tick(time.monotonic()))
-        self.mesh.dial(self.tether.peers())
+        self.carry_out(self.session.tick(time.monotonic()))
+        self.mesh.dial(self.session.peers())
 
     def take(self, peer: str, message: list) -> None:
-        self.carry_out(self.tether.heard(peer, message, time.monotonic()))
+        self.carry_out(self.session.heard(peer, message, time.monotonic()))
 
     def linked(self, peer: str, up: bool) -> None:
-        self.carry_out(self.tether.linked(peer, up, time.monotonic()))
+        self.carry_out(self.session.linked(peer, up, time.monotonic()))
 
     def carry_out(self, actions: list) -> None:
         for action in actions:
@@ -115,7 +117,7 @@
                     self._lend()
                 case Units(given, denied, soon, until):
                     plans, offset = self.reader.plans, self.host.clock.offset
-                    self.host.post(Given({plans[t]: n for t, n in given.items() if t in plans},
+                    self.host.post(UnitsGranted({plans[t]: n for t, n in given.items() if t in plans},
                                          {plans[t]: n for t, n in denied.items() if t in plans}, until + offset,
                                          {plans[t] for t in soon if t in plans}))
 
@@ -128,7 +130,7 @@
 
     def _draw(self) -> None:
         needs, self.needs = self.needs, {}
-        self.carry_out(self.tether.draw(needs, time.monotonic()))
+        self.carry_out(self.session.draw(needs, time.monotonic()))
 
     def _hold(self, held: bool, reason: str) -> None:
         now = time.monotonic()
@@ -141,8 +143,8 @@
         elif not self.life.ending:
             self.life.handle(Life.ADMIT if held else Life.BAR, now)
             self.look()
-        self.tether.ready = self.life.ready
-        self.carry_out(self.tether.say(now))
+        self.session.ready = self.life.ready
+        self.carry_out(self.session.say(now))
 
     def _apply(self, number: int, data: bytes) -> None:
         version = compile_version(zlib.decompress(data))
@@ -169,18 +171,18 @@
         cells, regions = {}, self.settings.zones
         for cell, (service, homes) in self.reader.cells.items():
             cells[cell] = api.Cell(frozenset(
-                id for id, b in self.tether.backends.known.items() if b.told.service == service
+                id for id, b in self.session.backends.known.items() if b.told.service == service
                 and (homes is None or regions.get(b.told.zone) in homes)))
         self.host.post(api.Cells(cells))
 
     def _refresh(self) -> None:
         """The list as it is now, for the sockets and the module."""
-        now, tether = time.monotonic(), self.tether
-        for zone in self.evac - tether.evac:
+        now, session = time.monotonic(), self.session
+        for zone in self.evac - session.evac:
             self.restored[zone] = now
-        self.evac = tether.evac
+        self.evac = session.evac
         entries, addresses = [], {}
-        for id, b in tether.backends.known.items():
+        for id, b in session.backends.known.items():
             told = b.told
             try:
                 addresses[id] = address(told.address)
@@ -189,7 +191,7 @@
             state = api.BackendState.READY
             if told.state == GONE:
                 state = api.BackendState.GONE
-            elif told.state == DRAINING or b.lost or told.zone in tether.evac:
+            elif told.state == DRAINING or b.lost or told.zone in session.evac:
                 state = api.BackendState.DRAINING
             entries.append(api.BackendEntry(id, state))
         self._place(now)
@@ -200,7 +202,7 @@
         far, slots, cold = {}, {}, {}
         settings = self.settings
         clusters = self.reader.version.clusters if self.reader.version is not None else {}
-        for id, b in self.tether.backends.known.items():
+        for id, b in self.session.backends.known.items():
             zone = b.told.zone
             region = settings.zones.get(zone)
             far[id] = FAR_REGION if region != settings.region else FAR_ZONE if zone != (
@@ -212,15 +214,15 @@
                 until = max(until, self.restored[zone] + cluster[0])
             if cluster is not None and until > now:
                 # The module's clock is the host's, whose moments the steady clock's are not.
-                cold[id] = (until + self.host.clock.offset, self.tether.parts.cold.get(id, 0))
-        self.host.post(Places(far, slots, cold, SHARERS))
+                cold[id] = (until + self.host.clock.offset, self.session.parts.cold.get(id, 0))
+        self.host.post(BackendPlaces(far, slots, cold, SHARERS))
 
     def _lend(self) -> None:
         """Parts that are new, or at an end: what is not lent is not there."""
-        parts, bounds = self.tether.parts, self.settings.rule_bounds
+        parts, bounds = self.session.parts, self.settings.rule_bounds
         plans, slack = self.reader.plans, SLACK_PART * bounds.budget_slack * parts.slack / WHOLE
         shares = {plans[tenant]: part / WHOLE for tenant, part in parts.quotas.items() if tenant in plans}
-        self.host.post(Shares(shares, slack, parts.number > 0))
+        self.host.post(LeasedShares(shares, slack, parts.number > 0))
         self._place(time.monotonic())
 
     # Start and stop
@@ -247,14 +249,14 @@
             confidence=f"{regulation.fit.at(regulation.work)[1]:.1f}")
 
     def reload(self, settings: Settings) -> None:
-        self.tether.seeds = settings.seeds
+        self.session.seeds = settings.seeds
 
     def stop(self) -> None:
         if not self.life.ending:
             say(Event.STOP, node=self.settings.node_name)
             self.life.handle(Life.TERM, time.monotonic())
-            self.tether.ready = False
-            self.carry_out(self.tether.say(time.monotonic()))
+            self.session.ready = False
+            self.carry_out(self.session.say(time.monotonic()))
             self.look()
 
     def _end(self) -> None:
--- a/tests/system/test_admission.py
+++ b/tests/system/test_admission.py
@@ -4,8 +4,9 @@
 
 from fennelpoint import interface as api
 from fennelpoint.regulation import FULL_STEP, PERIOD, STEP
-from fennelpoint.system.roll.steward import Steward
-from fennelpoint.system.span.decide import Catalogue, Decider, Places, Shares
+from fennelpoint.system.roll.allocator import Allocator
+from fennelpoint.system.span.decider import Decider
+from fennelpoint.system.span.events import BackendPlaces, Catalogue, LeasedShares
 
 S = api.Status
 
@@ -24,8 +25,8 @@
         self.give(Catalogue(classes, plans))
         self.give(api.Cells({"svc": api.Cell(frozenset(("b1",)))}))
         self.give(api.Roster(api.RosterKind.FULL, 0, [api.BackendEntry("b1", api.BackendState.READY)]))
-        self.give(Places({}, {"b1": 1000}, {}))
-        self.give(Shares({0: 1.0, 1: 1.0, 2: 1.0}, 10.0))
+        self.give(BackendPlaces({}, {"b1": 1000}, {}))
+        self.give(LeasedShares({0: 1.0, 1: 1.0, 2: 1.0}, 10.0))
 
     def give(self, event) -> list:
         actions = self.one.handle(event, self.now)
@@ -91,18 +92,18 @@
 
 
 def test_a_share_is_the_larger_of_the_even_one_and_what_was_asked_refused_tries_included() -> None:
-    steward, now, fronts = Steward([1, "a"], ["f1", "f2", "f3"], 0.0), 0.0, ("f1", "f2", "f3")
+    allocator, now, fronts = Allocator([1, "a"], ["f1", "f2", "f3"], 0.0), 0.0, ("f1", "f2", "f3")
     asked = {"f1": 12, "f2": 2, "f3": 0}      # f1 asks for 24 a second of a quota of 20: most are refused there
-    parts, newest = {}, [steward.term, 10 ** 9]     # each grant has come
+    parts, newest = {}, [allocator.term, 10 ** 9]     # each grant has come
     for turn in range(60):
         now = 0.5 * turn
         for front in fronts:
-            grant = steward.want(front, 1, "ra", newest, {"t": asked[front]}, None, {"t": 20.0}, {}, now)
+            grant = allocator.want(front, 1, "ra", newest, {"t": asked[front]}, None, {"t": 20.0}, {}, now)
             parts[front] = grant.quotas.get("t", 0)
     assert parts["f1"] > 700 > 300 > parts["f2"] > 50 and sum(parts.values()) <= 1000
     for turn in range(60, 300):
         now = 0.5 * turn
         for front in fronts:    # silent: even shares again
-            grant = steward.want(front, 1, "ra", newest, {}, None, {"t": 20.0}, {}, now)
+            grant = allocator.want(front, 1, "ra", newest, {}, None, {"t": 20.0}, {}, now)
             parts[front] = grant.quotas.get("t", 0)
     assert all(280 < part < 380 for part in parts.values()) and PERIOD == 0.5
--- a/tests/system/test_contact.py
+++ b/tests/system/test_contact.py
@@ -13,7 +13,7 @@
 from fennelpoint.system.roll.contact import DRAIN, FRESH, LAG, Contact
 from fennelpoint.system.roll.desk import Answer, Desk
 from fennelpoint.system.settings import Bounds
-from fennelpoint.system.span.tether import Tether
+from fennelpoint.system.span.core_session import CoreSession
 from fennelpoint.system.web import Asking
 from fennelpoint.system.writ.world import empty
 
@@ -64,7 +64,7 @@
 
 
 def test_a_front_keeps_the_newer_members_of_the_core() -> None:
-    front = Tether("f", "za", "ra", {}, ["a"], {}, 0.0)
+    front = CoreSession("f", "za", "ra", {}, ["a"], {}, 0.0)
     front.heard("roll@b", ["core", {"a": "za", "b": "zb"}, 7], 1.0)
     front.heard("roll@a", ["core", {"a": "za"}, 5], 2.0)
     assert front.order() == ["a", "b"]
--- a/tests/system/test_front.py
+++ b/tests/system/test_front.py
@@ -47,7 +47,7 @@
     data = zlib.compress(json.dumps(CONFIGURATION).encode())
     backend = ["i-1", f"{at[0]}:{at[1]}", "svc", "za", 2, "v1", "ready", 1, 0.0, 0.0, False]
     program.take(CORE, ["list", 1, 1, [backend], True])
-    program.take(CORE, ["lease", program.tether._number(time.monotonic()), 1, 3, "d", [], 1])
+    program.take(CORE, ["lease", program.session._number(time.monotonic()), 1, 3, "d", [], 1])
     program.take(CORE, ["content", "d", data])
     return program, booking, public, readiness
 
@@ -99,7 +99,7 @@
 def test_a_front_whose_lease_ends_refuses_at_once_and_sends_nothing_on() -> None:
     async def play() -> None:
         program, booking, public, readiness = await started()
-        program.tether.until = time.monotonic()     # as after 4.2 s without a word
+        program.session.until = time.monotonic()     # as after 4.2 s without a word
         answer = await post(public, "b1")
         assert answer.startswith(b"HTTP/1.1 503") and b"retry-after" in answer
         assert not await ready(readiness) and not booking.seen
--- a/tests/system/test_hot_day.py
+++ b/tests/system/test_hot_day.py
@@ -7,8 +7,9 @@
 import pytest
 
 from fennelpoint import interface as api
-from fennelpoint.system.roll.steward import DRAW_LIFE, LIFE, Steward
-from fennelpoint.system.span.decide import Catalogue, Decider, Given, Need, Places, Shares
+from fennelpoint.system.roll.allocator import DRAW_LIFE, LIFE, Allocator
+from fennelpoint.system.span.decider import Decider
+from fennelpoint.system.span.events import BackendPlaces, Catalogue, LeasedShares, UnitsGranted, UnitsNeeded
 
 TENANTS, WINDOW, SLACK, OVER = ("hot", "a", "b"), 5.0, 20.0, 0.1
 WAY, ANSWER = 0.02, 0.1     # s from a front to the reckoner; of a backend
@@ -20,7 +21,7 @@
     def __init__(self, fronts: int, rate: float, usual: float) -> None:
         self.random, self.now, self.rate, self.usual = Random(5), 10.0, rate, usual
         names = [f"f{i}" for i in range(fronts)]
-        self.steward = Steward([1, "c"], names, self.now)
+        self.allocator = Allocator([1, "c"], names, self.now)
         self.queue: list[tuple[float, int, object]] = []
         self.count, self.ran, self.asked = 0, {t: [] for t in TENANTS}, {t: 0 for t in TENANTS}
         self.refused: dict[str, list[tuple[float, bool]]] = {t: [] for t in TENANTS}
@@ -28,7 +29,7 @@
         classes = [api.RequestClass("read", 0.8, 3.0, 1.0, api.Effect.SAFE)]
         plans = [api.Plan("public", 1.0), *(api.Plan(t, 1.0, rate, rate) for t in TENANTS)]
         self.fronts, self.since = {}, {name: dict.fromkeys(TENANTS, 0) for name in names}
-        self.seen = dict.fromkeys(names, [self.steward.term, 0])     # each was told of the term
+        self.seen = dict.fromkeys(names, [self.allocator.term, 0])     # each was told of the term
         for name in names:
             settings = api.Settings(0, 1, 0, classes, plans, 8, 0.0, 1.0, 0.0, 1.0, 1.0, 0.0, 0.001, most_units=1.0,
                                     may_advise=True, max_advice=3.0)
@@ -37,7 +38,7 @@
             for event in (Catalogue(classes, plans), api.Cells({"svc": api.Cell(frozenset(backends))}),
                           api.Roster(api.RosterKind.FULL, 0, [api.BackendEntry(b, api.BackendState.READY)
                                                               for b in backends]),
-                          Places({}, dict.fromkeys(backends, 1000), {})):
+                          BackendPlaces({}, dict.fromkeys(backends, 1000), {})):
                 self.give(name, event)
             self.later(self.random.random() * 0.5, self.renew, name)
 
@@ -50,23 +51,23 @@
         asked, self.since[name] = self.since[name], dict.fromkeys(TENANTS, 0)
         sent = self.now
         rates = dict.fromkeys(TENANTS, self.rate)
-        grant = self.steward.want(name, 1, "r", self.seen[name], asked, None, rates, {}, self.now)
+        grant = self.allocator.want(name, 1, "r", self.seen[name], asked, None, rates, {}, self.now)
         self.later(0.5, self.renew, name)
         if grant is not None:
-            self.later(2 * WAY, self.lend, name, [self.steward.term, grant.number], grant.quotas, sent + LIFE)
+            self.later(2 * WAY, self.lend, name, [self.allocator.term, grant.number], grant.quotas, sent + LIFE)
 
     def lend(self, name: str, seen: list, quotas: dict, until: float) -> None:
         self.seen[name] = seen
         if self.now < until:
-            self.give(name, Shares({TENANTS.index(t): part / 1000 for t, part in quotas.items()}, 10.0, True))
+            self.give(name, LeasedShares({TENANTS.index(t): part / 1000 for t, part in quotas.items()}, 10.0, True))
 
     def draw(self, name: str, customer: int, units: float, stamp: float) -> None:
         rates = dict.fromkeys(TENANTS, self.rate)
-        drawn = self.steward.draw(name, {TENANTS[customer]: units}, rates, rates, SLACK, self.now)
+        drawn = self.allocator.draw(name, {TENANTS[customer]: units}, rates, rates, SLACK, self.now)
         if drawn is not None:
             given, denied = ({TENANTS.index(t): n for t, n in part.items()} for part in drawn[:2])
             soon = {TENANTS.index(t) for t in drawn[2]}
-            self.later(WAY, self.give, name, Given(given, denied, stamp + DRAW_LIFE, soon))
+            self.later(WAY, self.give, name, UnitsGranted(given, denied, stamp + DRAW_LIFE, soon))
 
     def give(self, name: str, event) -> None:
         for action in self.fronts[name].handle(event, self.now):
@@ -80,7 +81,7 @@
                 case api.Refuse(request):
                     tenant, came = self.whose[request]
                     self.refused[tenant].append((self.now - came, action.over))
-                case Need(customer, units):
+                case UnitsNeeded(customer, units):
                     self.later(WAY, self.draw, name, customer, units, self.now)
 
     def ask(self, name: str, tenant: str) -> None:
@@ -110,7 +111,7 @@
 def test_a_hot_tenant_is_held_to_its_quota_everywhere_and_the_others_do_not_notice(fronts, rate, pooled) -> None:
     site = Site(fronts, rate, rate / 1.6)
     site.play(6.0)
-    assert bool(site.steward.pools) is pooled
+    assert bool(site.allocator.pools) is pooled
     before, quiet = {t: len(site.ran[t]) for t in TENANTS}, dict(site.asked)
     site.play(12.0, hot=8.0)
     most = (rate * WINDOW + rate) * (1.0 + OVER) + SLACK
--- a/tests/system/test_incarnations.py
+++ b/tests/system/test_incarnations.py
@@ -13,10 +13,10 @@
 from fennelpoint.standins.core_world import Broken, play
 from fennelpoint.system.incarnation import first_number, same_life
 from fennelpoint.system.roll import desk, duty
+from fennelpoint.system.roll.allocator import LIFE, WHOLE, Allocator
 from fennelpoint.system.roll.duty import SPAN, Duty
-from fennelpoint.system.roll.steward import LIFE, WHOLE, Steward
-from fennelpoint.system.span import tether
-from fennelpoint.system.span.tether import Hold, Tether
+from fennelpoint.system.span import core_session
+from fennelpoint.system.span.core_session import CoreSession, Hold
 from fennelpoint.system.writ import keeper
 from fennelpoint.system.writ.keeper import FOUNDED, KEY, Send, Store
 from fennelpoint.system.writ.world import empty
@@ -28,7 +28,7 @@
 def fenced(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> bool:
     """Whether lives number their requests apart; else all begin at one number, as before."""
     if request.param == "planted":
-        for module in (desk, keeper, tether):
+        for module in (desk, keeper, core_session):
             monkeypatch.setattr(module, "first_number", lambda incarnation: 0)
         monkeypatch.setattr(duty, "same_life", lambda one, other: True)
     return request.param == "fenced"
@@ -83,7 +83,7 @@
     """Its steady clock began anew with the machine: by the old one's stamp the lease would last for an hour."""
     lives = []
     for life, born in ((11, 3600.0), (12, 2.0)):
-        front = Tether("f", "za", "ra", {"za": "ra"}, ["a"], {"life": life}, born)
+        front = CoreSession("f", "za", "ra", {"za": "ra"}, ["a"], {"life": life}, born)
         front.linked("roll@a", True, born)
         lives.append([a.message for a in front.tick(born + 1.0) + front.out if a.message[0] == "ask"] or
                      [a.message for a in front.say(born + 1.0)])
@@ -172,33 +172,33 @@
 
 def test_a_late_word_of_a_front_that_died_does_not_speak_for_its_next_life() -> None:
     """The next life holds parts of the reckoner before; by the late ask it held nothing, and all was lent anew."""
-    steward = Steward([2, "b"], ["f", "g"], 10.0)
-    late = steward.want("f", 1, "ra", [[0, ""], 0], {}, None, {"t": 20.0}, {}, 10.1)
-    other = steward.want("g", 5, "ra", [[2, "b"], 0], {"t": 50}, None, {"t": 20.0}, {}, 10.2)
+    allocator = Allocator([2, "b"], ["f", "g"], 10.0)
+    late = allocator.want("f", 1, "ra", [[0, ""], 0], {}, None, {"t": 20.0}, {}, 10.1)
+    other = allocator.want("g", 5, "ra", [[2, "b"], 0], {"t": 50}, None, {"t": 20.0}, {}, 10.2)
     assert late is None and (other is None or not other.quotas)
     held = [{"t": 900}, {}, 0, [2, "b"], LIFE]
-    steward.want("f", 2, "ra", [[1, "a"], 7], {"t": 1}, held, {"t": 20.0}, {}, 10.3)
-    other = steward.want("g", 5, "ra", [[2, "b"], 0], {"t": 50}, None, {"t": 20.0}, {}, 10.4)
+    allocator.want("f", 2, "ra", [[1, "a"], 7], {"t": 1}, held, {"t": 20.0}, {}, 10.3)
+    other = allocator.want("g", 5, "ra", [[2, "b"], 0], {"t": 50}, None, {"t": 20.0}, {}, 10.4)
     assert 0 < other.quotas["t"] <= WHOLE - 900
     # Nor does a word that was said to the reckoner before.
-    another = Steward([3, "c"], ["f", "g"], 20.0)
+    another = Allocator([3, "c"], ["f", "g"], 20.0)
     assert another.want("f", 2, "ra", [[1, "a"], 7], {}, held, {"t": 20.0}, {}, 20.1) is None
 
 
 def test_a_late_ask_of_a_former_life_takes_nothing_from_the_one_that_lives() -> None:
-    steward, rates = Steward([2, "b"], ["f", "g"], 10.0), {"t": 20.0}
-    steward.want("g", 5, "ra", [[2, "b"], 0], {}, None, rates, {}, 10.1)
-    mine = steward.want("f", 2, "ra", [[2, "b"], 0], {"t": 50}, None, rates, {}, 10.2)
+    allocator, rates = Allocator([2, "b"], ["f", "g"], 10.0), {"t": 20.0}
+    allocator.want("g", 5, "ra", [[2, "b"], 0], {}, None, rates, {}, 10.1)
+    mine = allocator.want("f", 2, "ra", [[2, "b"], 0], {"t": 50}, None, rates, {}, 10.2)
     assert mine.quotas["t"] > 600
-    steward.want("f", 1, "ra", [[2, "b"], 0], {}, None, rates, {}, 10.3)    # late: it is long dead
-    other = steward.want("g", 5, "ra", [[2, "b"], 0], {"t": 50}, None, rates, {}, 10.4)
+    allocator.want("f", 1, "ra", [[2, "b"], 0], {}, None, rates, {}, 10.3)    # late: it is long dead
+    other = allocator.want("g", 5, "ra", [[2, "b"], 0], {"t": 50}, None, rates, {}, 10.4)
     assert other.quotas["t"] <= WHOLE - mine.quotas["t"]
-    assert steward.want("f", 2, "ra", [[2, "b"], mine.number], {"t": 50}, None, rates, {}, 10.5) is not None
+    assert allocator.want("f", 2, "ra", [[2, "b"], mine.number], {"t": 50}, None, rates, {}, 10.5) is not None
 
 
 def test_a_fresh_front_takes_no_parts_of_a_reckoner_that_another_has_followed() -> None:
     """The new one knows of it by its former life: what the old one lends it in its last second is in no sum."""
-    front = Tether("f", "za", "ra", {"za": "ra"}, ["a"], {"life": 2}, 0.0, applied="d")
+    front = CoreSession("f", "za", "ra", {"za": "ra"}, ["a"], {"life": 2}, 0.0, applied="d")
     front.lists.add("roll@a")
     number = front._number(0.0)
     front.heard("roll@a", ["lend", number, [1, "a"], 7, [{"t": 900}, {}, 0]], 0.1)
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -14,10 +14,10 @@
 )
 
 from fennelpoint.system.incarnation import first_number
+from fennelpoint.system.roll.allocator import DRAW_LIFE, FORGET, HOLD, LIFE, POOL_BURST, POOL_START, WHOLE, Allocator
 from fennelpoint.system.roll.duty import SPAN, Duty
 from fennelpoint.system.roll.roster import Roster
-from fennelpoint.system.roll.steward import DRAW_LIFE, FORGET, HOLD, LIFE, POOL_BURST, POOL_START, WHOLE, Steward
-from fennelpoint.system.span.tether import Tether, Units
+from fennelpoint.system.span.core_session import CoreSession, Units
 from fennelpoint.system.writ.world import dismiss, empty, enrol, lead
 
 FRONTS, RATES = ("f1", "f2", "f3"), {"t1": 20.0, "t2": 3.0}
@@ -29,7 +29,7 @@
 class Reckoner:
     """One term's: what it lends, what it knows to be agreed, and its proposals under way, in order."""
 
-    steward: Steward
+    allocator: Allocator
     knows: dict
     roster: Roster = field(default_factory=Roster)
     under_way: list[tuple[int, str, list]] = field(default_factory=list)
@@ -37,7 +37,7 @@
     tokens: int = 0
 
     def tend(self, now: float) -> None:
-        if now <= self.until and (due := self.roster.due(self.steward, self.knows["fronts"], self.tokens + 1, now)):
+        if now <= self.until and (due := self.roster.due(self.allocator, self.knows["fronts"], self.tokens + 1, now)):
             self.tokens += 1
             self.under_way.append((self.tokens, *due))
 
@@ -50,7 +50,7 @@
     @initialize()
     def begin(self) -> None:
         self.now, self.lives = 0.0, {}
-        self.fronts: dict[str, Tether] = {}
+        self.fronts: dict[str, CoreSession] = {}
         self.asks: list[tuple] = []                     # on their way, whatever becomes of their front
         self.sent: list[tuple[str, list]] = []          # grants on their way
         self.agreed = enrol(list(FRONTS))(empty({"a": "za"}))
@@ -64,7 +64,7 @@
     def _start(self, ip: str) -> None:
         self.lives[ip] = self.lives.get(ip, 0) + 1
         life = 100 * FRONTS.index(ip) + self.lives[ip]
-        self.fronts[ip] = Tether(ip, "za", "ra", {"za": "ra"}, ["a"], {"life": life}, self.now)
+        self.fronts[ip] = CoreSession(ip, "za", "ra", {"za": "ra"}, ["a"], {"life": life}, self.now)
 
     def _which(self, back: int) -> Reckoner | None:
         """The newest reckoner or one before it, if it may still lend."""
@@ -90,14 +90,14 @@
         ip, life, number, seen, asked, holds = ask
         if (one := self._which(back)) is None or not one.roster.admits(ip, one.knows["fronts"]):
             return
-        front, steward = self.fronts[ip], one.steward
-        steward.enrol([ip], self.now)
-        grant = steward.want(ip, life, "ra", seen, asked, holds, RATES, COLD, self.now)
+        front, allocator = self.fronts[ip], one.allocator
+        allocator.enrol([ip], self.now)
+        grant = allocator.want(ip, life, "ra", seen, asked, holds, RATES, COLD, self.now)
         if grant is None:
-            front._on_tell("roll@a", self.now, steward.term)
+            front._on_tell("roll@a", self.now, allocator.term)
         else:
-            same = [steward.term, grant.number] == seen
-            self.sent.append((ip, [number, steward.term, grant.number, None if same else grant.pack()]))
+            same = [allocator.term, grant.number] == seen
+            self.sent.append((ip, [number, allocator.term, grant.number, None if same else grant.pack()]))
 
     @rule(ips=st.sets(st.sampled_from(FRONTS), min_size=1))
     def exchange(self, ips: set) -> None:
@@ -125,7 +125,7 @@
             self.agreed = self.CHANGES[kind](*args)(self.agreed)
         if outcome == "taken":
             one.knows = self.agreed
-            if self.agreed["term"] > one.steward.term[0]:
+            if self.agreed["term"] > one.allocator.term[0]:
                 one.until = min(one.until, self.now - 0.001)
         one.roster.changed(token, 200 if outcome == "taken" else 503)
 
@@ -135,18 +135,18 @@
         """A front asks the pool, at whoever reckons or did so before, and uses what comes in time."""
         if (one := self._which(back)) is None:
             return
-        steward = one.steward
-        drawn = steward.draw(ip, {"t2": units}, RATES, {"t2": BURST}, SLACK, self.now)
+        allocator = one.allocator
+        drawn = allocator.draw(ip, {"t2": units}, RATES, {"t2": BURST}, SLACK, self.now)
         if drawn is None:
             return
         given, denied, soon = drawn
         assert given.get("t2", 0) + denied.get("t2", 0) in (0, units)
-        if "t2" in steward.pools:
-            lent = sum(f.out("quotas", "t2", self.now) for f in steward.fronts.values())
-            assert steward.pools["t2"].part <= (WHOLE - lent) / WHOLE + 0.05
+        if "t2" in allocator.pools:
+            lent = sum(f.out("quotas", "t2", self.now) for f in allocator.fronts.values())
+            assert allocator.pools["t2"].part <= (WHOLE - lent) / WHOLE + 0.05
         front = self.fronts[ip]
         front.out.clear()
-        front._on_units("roll@a", self.now + late, front._number(self.now), steward.term, given, denied, soon)
+        front._on_units("roll@a", self.now + late, front._number(self.now), allocator.term, given, denied, soon)
         for told in front.out:
             if isinstance(told, Units) and self.now + late <= told.until:
                 self.used.append((self.now + late, told.given.get("t2", 0)))
@@ -187,8 +187,8 @@
             self.reckoners[-1].until = min(self.reckoners[-1].until, self.now + HOLD)
             self.began.append(self.now)
         self.agreed = lead()(self.agreed)
-        steward = Steward([self.agreed["term"], "b"], self.agreed["fronts"], self.now)
-        self.reckoners = [*self.reckoners[-2:], Reckoner(steward, self.agreed)]
+        allocator = Allocator([self.agreed["term"], "b"], self.agreed["fronts"], self.now)
+        self.reckoners = [*self.reckoners[-2:], Reckoner(allocator, self.agreed)]
 
     @rule()
     def take_over(self) -> None:
@@ -386,7 +386,7 @@
 
 
 def test_a_front_that_told_a_newer_term_takes_no_word_of_those_before() -> None:
-    front = Tether("f", "za", "ra", {"za": "ra"}, ["a"], {}, 0.0)
+    front = CoreSession("f", "za", "ra", {"za": "ra"}, ["a"], {}, 0.0)
     front._on_lend("roll@a", 0.0, front._number(0.0), [1, "a"], 1, [{"t": 100}, {}, 0])
     front._on_tell("roll@b", 0.1, [2, "b"])
     front._on_lend("roll@a", 0.2, front._number(0.1), [1, "a"], 2, [{"t": 900}, {}, 0])
--- a/tests/system/test_span.py
+++ b/tests/system/test_span.py
@@ -11,7 +11,9 @@
 from fennelpoint.net.backends import Exchange
 from fennelpoint.net.driver import Clock
 from fennelpoint.net.server import BadRequest, Reply
-from fennelpoint.system.span.decide import HELD_PART, Catalogue, Decider, Given, Need, Places, Shares
+from fennelpoint.system.span.brief_waiting import HELD_PART
+from fennelpoint.system.span.decider import Decider
+from fennelpoint.system.span.events import BackendPlaces, Catalogue, LeasedShares, UnitsGranted, UnitsNeeded
 from fennelpoint.system.span.host import SystemBackends
 from fennelpoint.system.span.reader import SystemReader
 from fennelpoint.system.versions import Version
@@ -114,13 +116,13 @@
         self.tell(api.Cells({"svc": api.Cell(frozenset(("b1", "b2")))}))
         entries = [api.BackendEntry(b, api.BackendState.READY) for b in ("b1", "b2")]
         self.tell(api.Roster(api.RosterKind.FULL, 0, entries))
-        self.tell(Places({"b2": (0.05, 0.7)}, {"b1": 4, "b2": 4}, cold or {}))
-        self.tell(Shares({1: share}, slack))
+        self.tell(BackendPlaces({"b2": (0.05, 0.7)}, {"b1": 4, "b2": 4}, cold or {}))
+        self.tell(LeasedShares({1: share}, slack))
 
     def tell(self, event) -> list:
         made = self.one.handle(event, self.now)
         self.out += made
-        return [a for a in made if isinstance(a, api.Send | api.Refuse | api.Fail | Need)]
+        return [a for a in made if isinstance(a, api.Send | api.Refuse | api.Fail | UnitsNeeded)]
 
     def ask(self, write: bool = False) -> list:
         self.number += 1
@@ -188,10 +190,10 @@
     sent = [a for _ in range(12) for a in front.ask() if isinstance(a, api.Send)]
     assert len(sent) == 5       # half of the burst
     front.wait(10.0)
-    front.tell(Shares({1: 0.1}, 0.0))
+    front.tell(LeasedShares({1: 0.1}, 0.0))
     got = [a for _ in range(12) for a in front.ask()]
     assert sum(isinstance(a, api.Send) for a in got) == 1 and any(a.over for a in got if isinstance(a, api.Refuse))
-    front.tell(Shares({}, 0.0))
+    front.tell(LeasedShares({}, 0.0))
     front.wait(10.0)
     (refused,) = front.ask()
     assert refused.over and refused.retry_after >= 3.0      # told at once, and when to come back
@@ -199,28 +201,29 @@
 
 def test_one_without_a_part_draws_from_the_pool_by_the_try() -> None:
     front = Front(share=0.5, rate=10.0)
-    front.tell(Shares({}, 0.0, pooled=True))
+    front.tell(LeasedShares({}, 0.0, pooled=True))
     (need,) = front.ask()
     (other,) = front.ask()
-    assert need == other == Need(1, 1.0)
-    sent = front.tell(Given({1: 1.0}, {}, front.now + 0.5))
+    assert need == other == UnitsNeeded(1, 1.0)
+    sent = front.tell(UnitsGranted({1: 1.0}, {}, front.now + 0.5))
     assert [type(a) for a in sent] == [api.Send]
-    (refused,) = front.tell(Given({}, {1: 1.0}, front.now + 0.5))
+    (refused,) = front.tell(UnitsGranted({}, {1: 1.0}, front.now + 0.5))
     assert refused.over and refused.retry_after >= 3.0      # told at once
     front.ask()
-    (refused,) = front.tell(Given({}, {1: 1.0}, front.now + 0.5, {1}))
+    (refused,) = front.tell(UnitsGranted({}, {1: 1.0}, front.now + 0.5, {1}))
     assert refused.over and refused.retry_after <= 0.5      # its tenant is short for a moment only
     front.ask()
     front.now += 1.0
-    assert not [a for a in front.tell(Given({1: 9.0}, {}, front.now - 0.1)) if isinstance(a, api.Send)]     # too late
-    front.tell(Given({1: 2.0}, {}, front.now + 0.5))
+    too_late = front.tell(UnitsGranted({1: 9.0}, {}, front.now - 0.1))
+    assert not [a for a in too_late if isinstance(a, api.Send)]
+    front.tell(UnitsGranted({1: 2.0}, {}, front.now + 0.5))
     front.now += 0.6
-    (need,) = [a for a in front.ask() if isinstance(a, Need)]   # what is left over is not kept
+    (need,) = [a for a in front.ask() if isinstance(a, UnitsNeeded)]   # what is left over is not kept
 
 
 def test_a_draw_that_nobody_answers_ends_within_a_part_of_its_aim() -> None:
     front = Front(share=0.5, rate=10.0)
-    front.tell(Shares({}, 0.0, pooled=True))
+    front.tell(LeasedShares({}, 0.0, pooled=True))
     front.ask()
     (refused,) = front.wait(HELD_PART + 0.01)
     assert isinstance(refused, api.Refuse) and not refused.over and refused.retry_after <= 0.5
