Shares that move bring no savings: quotas begin empty, cold rates count a second longer

Cause: a tenant that asks for the first time at a proxy found its bucket full as if the share had been there since the process began; one unit was kept by a share of none; a cold backend's rate that moved within a second was sent twice in it (by a proxy that shrinks, by a former process, across a term, and at the end of a grant). Change: an unseen tenant's bucket fills from when its share last grew; a share of none saves nothing; the allocator counts a superseded or ended rate of a cold backend for 1.2 s more, also across a term; a process sends nothing to cold backends in its first second. One existing test of cold parts asks a second after its process began, as no process sends sooner now.

--- a/fennelpoint/system/roll/allocator.py
+++ b/fennelpoint/system/roll/allocator.py
@@ -14,6 +14,8 @@
 
 LIFE = 4.2          # s of a lease and of a grant at the front, from the sending of its ask
 SLACK = 0.4         # s more that it counts here
+COLD_AFTER = 1.2    # s more that rates of cold backends count once they are gone: what was sent by them is in the
+                    # window of a second that the rules count
 HOLD = 1.0          # s since a read of its own term that a reckoner may lend: one before us may, so long after us
 ALIVE = 1.8         # s without an ask after which a front gets no more of what is free
 HALF = 6.0          # s in which what was asked counts half
@@ -61,12 +63,21 @@
 
     def out(self, kind: str, key: str, now: float) -> int:
         """The most of a thing that it may be using."""
-        most = 0
+        most, after = 0, COLD_AFTER if kind == "cold" else 0.0
         for g in self.grants:
-            if now < g.ends:
+            if now < g.ends + after:
                 most = max(most, g.slack if kind == "slack" else getattr(g, kind).get(key, 0))
         return most
 
+    def confirm(self, number: int, now: float) -> None:
+        """It goes by that grant or a later one: of those before only what was sent by their cold rates counts."""
+        for g in self.grants:
+            if g.number < number and now < g.ends:
+                g.ends, g.quotas, g.slack = now, {}, 0
+
+    def forget_ended(self, now: float) -> None:
+        self.grants = [g for g in self.grants if now < g.ends + COLD_AFTER]
+
 
 @dataclass(slots=True)
 class Pool:
@@ -137,13 +148,13 @@
             front.told.add(life)
             front.known = True
         elif number and ours:
-            front.grants = [g for g in front.grants if g.number >= number]
+            front.confirm(number, now)
         if life != front.life:
             front.life = life
             front.asked.clear()
         front.heard, front.region = now, region
         self._ask(front, asked, now)
-        front.grants = [g for g in front.grants if now < g.ends]
+        front.forget_ended(now)
         self.open(now)
         return self._lend(front, rates, cold, now)
 
@@ -222,7 +233,10 @@
 
     def _free(self, kind: str, key: str, whole: int, front: Front, now: float) -> int:
         """What may be lent to it of one thing; while something is unknown, no more than it keeps of what it held."""
-        if not self.settled(now):
+        settled = self.settled(now)
+        if kind == "cold":  # what fronts sent just before this term may have been by larger rates than they tell
+            settled = now - self.since > COLD_AFTER and self.settled(now - COLD_AFTER)
+        if not settled:
             return front.out(kind, key, now) if front.keeps else 0
         return max(0, whole - sum(f.out(kind, key, now) for f in self.fronts.values() if f is not front))
 
--- a/fennelpoint/system/span/leased_quotas.py
+++ b/fennelpoint/system/span/leased_quotas.py
@@ -28,6 +28,7 @@
         self.needed: dict[int, float] = {}      # tries that units were asked for, and when
         self.denied_at: dict[int, float] = {}   # when the pool last had none, by customer
         self.soon: Set[int] = frozenset()       # who was denied for a moment only
+        self.raised_at: dict[int, float] = {}   # when the share of one that has asked for nothing yet last grew
 
     def thin(self, c: Customer) -> bool:
         """Whether it has no part of its own here: too many fronts share too little, and each try asks the pool."""
@@ -103,10 +104,13 @@
     def lease(self, shares: dict[int, float], pools: bool, now: float) -> None:
         """What is taken back is gone at once; what is given fills with time."""
         fresh = bool(shares) and not self.leased
+        raised = {key for key, share in shares.items() if share > self.shares.get(key, 0.0)}
+        since = max(self.ground.born, now - FRESH) if fresh else now
+        self.raised_at = {key: since if key in raised else self.raised_at[key] for key in shares}
         self.leased, self.shares, self.pools = self.leased or fresh, shares, pools
         for c in self.customers.values():
             if fresh:   # nobody else was lent our part while we started; a second of it at most
-                c.filled = max(self.ground.born, now - FRESH)
+                c.filled = since
             else:
                 self.fill(c, now)
             c.share = shares.get(c.key, 0.0)
@@ -124,9 +128,10 @@
     def customer(self, ask: api.Request, now: float) -> Customer:
         if (c := self.customers.pop(ask.customer, None)) is None:
             plan, share = self.settings.plans[ask.plan], self.shares.get(ask.customer, 0.0)
-            # Guards the sum over a restart: what the process before took is not known, so it starts with what
-            # came in since.
-            c = Customer(ask.customer, ask.plan, 1.0, share, 0.0, store=plan.burst, filled=self.ground.born,
+            # Guards the sum over a restart, and over shares that move: what others took by this share before is not
+            # known, so it starts with what came in since it came here.
+            since = self.raised_at.get(ask.customer, now)
+            c = Customer(ask.customer, ask.plan, 1.0, share, 0.0, store=plan.burst, filled=since,
                          total_at=now, count_at=inf)
         self.customers[ask.customer], c.seen, c.plan = c, now, ask.plan
         return c
--- a/fennelpoint/system/span/placement.py
+++ b/fennelpoint/system/span/placement.py
@@ -55,7 +55,8 @@
             until, most = self.places.cold.get(key, (0.0, 0))
             slow = self.slowness(b, now)
             if now < until:
-                if self._sent_lately(key, now) >= most:
+                # The process before may have sent all that is ours of this second.
+                if now < self.ground.born + SECOND or self._sent_lately(key, now) >= most:
                     continue
                 slow *= 1.5
             crowd = out * max(1.0, 0.5 * self.places.sharers) / slots
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -18,6 +18,7 @@
 from fennelpoint.system.roll.duty import SPAN, Duty
 from fennelpoint.system.roll.roster import Roster
 from fennelpoint.system.span.core_session import CoreSession, Units
+from fennelpoint.system.span.placement import SECOND
 from fennelpoint.system.writ.world import dismiss, empty, enrol, lead
 
 FRONTS, RATES = ("f1", "f2", "f3"), {"t1": 20.0, "t2": 3.0}
@@ -57,6 +58,8 @@
         self.reckoners: list[Reckoner] = []                 # the newest last; those before lend for a while
         self.used: list[tuple[float, int]] = []             # units of t2 from the pool
         self.began: list[float] = []                        # when reckoners after the first did
+        self.cold: list[tuple[float, tuple[str, int], int]] = []    # until when which life had how much of s1
+        self.born: dict[tuple[str, int], float] = {}
         self.another()
         for ip in FRONTS:
             self._start(ip)
@@ -64,6 +67,7 @@
     def _start(self, ip: str) -> None:
         self.lives[ip] = self.lives.get(ip, 0) + 1
         life = 100 * FRONTS.index(ip) + self.lives[ip]
+        self.born[ip, self.lives[ip]] = self.now
         self.fronts[ip] = CoreSession(ip, "za", "ra", {"za": "ra"}, ["a"], {"life": life}, self.now)
 
     def _which(self, back: int) -> Reckoner | None:
@@ -166,7 +170,9 @@
 
     @rule(span=st.sampled_from([0.1, 0.5, 2.0, LIFE, FORGET + 0.1]))
     def wait(self, span: float) -> None:
+        before = [(ip, f.parts.until, f.parts.cold.get("s1", 0)) for ip, f in self.fronts.items()]
         self.now += span
+        self.cold += [(min(until, self.now), (ip, self.lives[ip]), most) for ip, until, most in before]
         for front in self.fronts.values():
             front.tick(self.now)
         for one in self.reckoners:
@@ -205,6 +211,18 @@
         assert sum(p.cold.get("s1", 0) for p in parts) <= 11
         assert sum(p.slack for p in parts) <= WHOLE
 
+    @invariant()
+    def cold_seconds_hold(self) -> None:
+        """Each life of a front may have sent all of its part in one second, whoever has it by now."""
+        self.cold += [(self.now, (ip, self.lives[ip]), f.parts.cold.get("s1", 0))
+                      for ip, f in self.fronts.items() if self.now < f.parts.until]
+        self.cold = [(at, who, most) for at, who, most in self.cold if at > self.now - SECOND]
+        sent: dict[tuple[str, int], int] = {}
+        for at, who, most in self.cold:
+            if at >= self.born[who] + SECOND:
+                sent[who] = max(sent.get(who, 0), most)
+        assert sum(sent.values()) <= 11, sent
+
     @invariant()
     def windows_hold(self) -> None:
         def most(changes: int) -> float:
--- a/tests/system/test_span.py
+++ b/tests/system/test_span.py
@@ -185,6 +185,7 @@
 def test_a_cold_backend_gets_no_more_than_the_part_that_was_lent() -> None:
     cold = {"b1": (103.0, 2), "b2": (103.0, 1)}
     front = Front(cold=cold)
+    front.now += 1.1    # what the process before may have sent is of no second that counts any more
     sent = [a.backend for _ in range(8) for a in front.ask() if isinstance(a, api.Send)]
     assert sorted(sent) == ["b1", "b1", "b2"]
     later = [a.backend for a in front.wait(1.1) if isinstance(a, api.Send)]     # those that waited come first
@@ -288,3 +289,21 @@
     assert isinstance((front.ends(S.RESET, send.backend) or front.wait(0.1))[0], api.Refuse)
     (refused,) = front.ask()
     assert isinstance(refused, api.Refuse)
+
+
+def test_a_share_that_has_just_come_saves_nothing_from_before() -> None:
+    """It was another proxy's, which may have used it up."""
+    front = Front(share=0.1, rate=10.0)
+    front.wait(60.0)
+    front.tell(LeasedShares({1: 1.0}, 0.0))
+    assert [a for _ in range(12) for a in front.ask() if isinstance(a, api.Send)] == []
+    front.wait(0.5)
+    assert sum(isinstance(a, api.Send) for _ in range(12) for a in front.ask()) <= 5
+
+
+def test_a_process_that_has_just_begun_sends_nothing_to_cold_backends() -> None:
+    """The one before may have sent all that a second allows."""
+    front = Front(cold={"b1": (200.0, 5), "b2": (200.0, 5)})
+    assert front.ask() == []
+    front.wait(1.1)
+    assert [type(a) for a in front.ask()] == [api.Send]
