--- a/fennelpoint/standins/retry_world.py
+++ b/fennelpoint/standins/retry_world.py
@@ -73,6 +73,7 @@
     proxies_count: int
     slack: float
     seed: int = 1
+    decider: type[Decider] = Decider
     now: float = 100.0
     queue: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
     count: int = 0
@@ -103,7 +104,7 @@
         plans = [api.Plan("public", 1.0)]
         settings = api.Settings(0, 1, 0, classes, plans, 8, 0.0, 1.0, 0.0, 1.0, 1.0, 0.0, 0.001, most_units=1.0,
                                 may_advise=True, max_advice=3.0)
-        proxy = self.proxies[ip] = Proxy(ip, session, Decider(settings, self.lives, self.now), self.lives,
+        proxy = self.proxies[ip] = Proxy(ip, session, self.decider(settings, self.lives, self.now), self.lives,
                                          service=self.route)
         cells = {service: api.Cell(frozenset(b for b in BACKENDS if b.startswith(service))) for service in SERVICES}
         entries = [api.BackendEntry(backend, api.BackendState.READY) for backend in BACKENDS]
@@ -300,9 +301,16 @@
             return kind, random.randrange(100), None
 
 
-def play(proxies: int, slack: float, seed: int, steps: list[Step]) -> RetryWorld:
+def drawn(number: int, decider: type[Decider] = Decider) -> RetryWorld:
+    """The history of that number, played to its end."""
+    random = Random(number)
+    proxies, slack = random.randint(2, 9), random.choice((5.0, 20.0, 60.0))
+    return play(proxies, slack, number, [draw_step(random) for _ in range(random.randint(3, 10))], decider)
+
+
+def play(proxies: int, slack: float, seed: int, steps: list[Step], decider: type[Decider] = Decider) -> RetryWorld:
     """A history from the start; at its end all backends of both services fail for a while."""
-    world = RetryWorld(proxies, slack, seed)
+    world = RetryWorld(proxies, slack, seed, decider)
     world.serve(6.0, 20.0)
     for step in steps:
         _do(world, step)
--- a/fennelpoint/system/span/decider.py
+++ b/fennelpoint/system/span/decider.py
@@ -32,6 +32,7 @@
     """The decisions of one front."""
 
     QUOTAS, SELECTION, WAITING = LeasedQuotas, NearestBackend, BriefWaiting
+    BUDGET = RetryBudget    # of each service
 
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
@@ -114,7 +115,7 @@
         service = t.ask.cell.partition("|")[0]
         if (budget := self.budgets.get(service)) is None:
             rule = self.retry_rule
-            budget = self.budgets[service] = RetryBudget(rule.ratio, rule.window, self.slack, now)
+            budget = self.budgets[service] = self.BUDGET(rule.ratio, rule.window, self.slack, now)
         return budget
 
     def _may_retry(self, t: Try, now: float) -> bool:
