--- a/benchmarks/retry_budget.py
+++ b/benchmarks/retry_budget.py
@@ -34,7 +34,7 @@
 from fennelpoint.system.span.decider import Decider
 from fennelpoint.system.span.retry_budget import RetryBudget
 
-PART, MOST_SAVED = 0.8, 40.0    # of the ratio; retries beside the slack, as it was
+PART, MOST_SAVED = 0.8, 40.0  # of the ratio; retries beside the slack, as it was
 SITES = ((9, 41.0, 58.0), (9, 96.0, 58.0), (77, 47.0, 194.0), (77, 184.0, 194.0), (77, 429.0, 194.0))
 FAILING = (0.03, 0.06, 0.12, 0.3, 0.8)
 BATCH = 50
--- a/benchmarks/system_days.py
+++ b/benchmarks/system_days.py
@@ -3,10 +3,11 @@
 Usage:
   system_days.py POINT NUMBER [--length=S]
   system_days.py --all=N --into=DIR
+  system_days.py --site=FILE --length=S --traffic=PART
   system_days.py --help
 
 Arguments:
-  POINT   cut_off, orders, members, storm, answers or mixed.
+  POINT   cut_off, orders, members, storm, answers, mixed, retries or grey.
   NUMBER  Number of the day, from 1. It picks the variant (in a cycle, so that as many days as there are variants hold
           each of them) and is the seed of all else: the same point and number always give the same day.
 
@@ -14,6 +15,9 @@
   --length=S   Seconds of traffic; left out, the site's own (a storm's long days bring theirs).
   --all=N      Days 1 to N of each point.
   --into=DIR   Folder for the files, named POINT-NUMBER.toml.
+  --site=FILE  Prints a copy of a site file with another length and part of its traffic, for long days that can be
+               played in minutes.  Its wire.json has to stand beside the copy.
+  --traffic=PART  Of the site's requests a second.
 
 Without --into the day goes to standard output. Zones and machines are left out of the entries, so that the bench
 picks them by the day's seed and a file can be played on any deployment whose contracts know its kinds.
@@ -22,6 +26,7 @@
 from __future__ import annotations
 
 import random
+import re
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -168,9 +173,38 @@
     return {"plan": plan, "faults": faults, "closing": closing(draw, number)}
 
 
+def long_day(draw: random.Random, faults: list[Entry]) -> Day:
+    """90 s with some hundred changes and proxies that come and go, before what fails at 70 s."""
+    plan = [
+        entry("config_storm", 5.0, count=draw.choice((100, 200)), gap_s=0.3),
+        entry("roll_term", draw.uniform(20, 40), share=0.3, x=1, gap_s=1.0, how=draw.choice(("", "busy"))),
+    ]
+    return {"plan": plan, "faults": faults, "length_s": 90.0}
+
+
+def retries(draw: random.Random, number: int) -> Day:
+    """A long day on which answers are lost, so that what may be repeated is."""
+    return long_day(draw, [
+        entry("node_freeze", draw.uniform(40, 60), share=0.2, for_s=draw.choice((2.0, 6.0))),
+        entry("answer_lost", 70.0, share=0.9, x=draw.choice((0.3, 0.6, 1.0)), for_s=12.0, how="reset"),
+        entry("node_kill", 73.0, share=0.3, for_s=2.0),
+    ])  # fmt: skip
+
+
+def grey(draw: random.Random, number: int) -> Day:
+    """A long day on which a service fails requests with its health good, and then flaps."""
+    hows = ("shed", "errors", "reset")
+    return long_day(draw, [
+        entry("node_freeze", draw.uniform(40, 60), share=0.2, for_s=draw.choice((2.0, 6.0))),
+        entry("srv_grey", 70.0, share=draw.choice((0.5, 0.8, 1.0)), x=draw.choice((0.5, 1.0)), for_s=12.0,
+              how=hows[(number - 1) % len(hows)]),
+        entry("srv_flap", 74.0, share=0.4, gap_s=1.5, for_s=8.0),
+    ])  # fmt: skip
+
+
 def mixed(draw: random.Random, number: int) -> Day:
     """Half of the entries of three other points' days, one on top of the other."""
-    parts = [POINTS[name](draw, draw.randint(1, 50)) for name in draw.sample(sorted(set(POINTS) - {"mixed"}), 3)]
+    parts = [POINTS[name](draw, draw.randint(1, 50)) for name in draw.sample(MIXED, 3)]
     plan = [one for part in parts for one in draw.sample(part["plan"], (len(part["plan"]) + 1) // 2)]
     faults = [one for part in parts for one in draw.sample(part["faults"], (len(part["faults"]) + 1) // 2)]
     last = 28.0
@@ -188,7 +222,17 @@
     "storm": storm,
     "answers": answers,
     "mixed": mixed,
+    "retries": retries,
+    "grey": grey,
 }
+MIXED = ("answers", "cut_off", "members", "orders", "storm")    # what mixed days are drawn from
+
+
+def site_copy(text: str, length: float, traffic: float) -> str:
+    """A site file's text with another length (s), and so much of its requests a second."""
+    text = re.sub(r"(?m)^length_s = .*$", f"length_s = {length}", text)
+    return re.sub(r"per_s = ([0-9.]+), clients",
+                  lambda found: f"per_s = {float(found[1]) * traffic:.1f}, clients", text)
 
 
 def toml(value: Any) -> str:
@@ -217,6 +261,10 @@
     """Command line; returns the exit status: 0, or 2 for a point or number that can't be."""
     asked = docopt(__doc__, argv)
     try:
+        if asked["--site"] is not None:
+            text = Path(asked["--site"]).read_text()
+            sys.stdout.write(site_copy(text, float(asked["--length"]), float(asked["--traffic"])))
+            return 0
         if asked["--all"] is not None:
             folder = Path(asked["--into"])
             for point in POINTS:
--- a/fennelpoint/standins/retry_rule.py
+++ b/fennelpoint/standins/retry_rule.py
@@ -27,8 +27,10 @@
         return self.retries - self.allowed
 
     def __str__(self) -> str:
-        return (f"service {self.service}: {self.retries} arrivals beyond the first of their request from "
-                f"{self.begin:.3f} s on, for {self.requests} requests; allowed {self.allowed:.0f}")
+        return (
+            f"service {self.service}: {self.retries} arrivals beyond the first of their request from "
+            f"{self.begin:.3f} s on, for {self.requests} requests; allowed {self.allowed:.0f}"
+        )
 
 
 @dataclass(slots=True)
@@ -39,8 +41,8 @@
     slack: float
     window: float
     requests: dict[str, list[float]] = field(default_factory=dict)  # when each was sent, by service, in order
-    retries: dict[str, list[float]] = field(default_factory=dict)   # when each arrived
-    seen: set[object] = field(default_factory=set)                  # requests that a backend has received
+    retries: dict[str, list[float]] = field(default_factory=dict)  # when each arrived
+    seen: set[object] = field(default_factory=set)  # requests that a backend has received
 
     def sent(self, service: str, at: float) -> None:
         """A client sent a request on a route to that service."""
--- a/fennelpoint/standins/retry_world.py
+++ b/fennelpoint/standins/retry_world.py
@@ -21,13 +21,13 @@
 from fennelpoint.system.span.decider import Decider
 from fennelpoint.system.span.events import BackendPlaces, Catalogue, LeaseExtended, RetryRule, leased_shares
 
-TICK = 0.05                 # s between looks of a session at its clock
+TICK = 0.05  # s between looks of a session at its clock
 CORE = name("roll", "core")
 SERVICES = ("a", "b")
 BACKENDS = tuple(f"{service}{number}" for service in SERVICES for number in range(6))
 AIM, DEADLINE, ATTEMPTS = 2.0, 5.0, 2
-ANSWER = 0.01               # s that a backend takes
-WAYS = (0.001, 0.001, 0.02, 0.1) # s on the way to a backend
+ANSWER = 0.01  # s that a backend takes
+WAYS = (0.001, 0.001, 0.02, 0.1)  # s on the way to a backend
 APPLIES = (0.04, 0.1, 3.0)  # s until a version is in force at a proxy
 RULE = RetryRule(0.2, 10.0)
 FAILURES = {"shed": api.Status.FULL, "errors": api.Status.ERROR, "reset": api.Status.RESET}
@@ -41,10 +41,10 @@
     session: CoreSession
     decider: Decider
     life: int
-    lease_until: float = -1e9       # of the gate that a process asks before it sends
+    lease_until: float = -1e9  # of the gate that a process asks before it sends
     cut: bool = False
     frozen: list[Callable[[], None]] | None = None  # what has come while it stands still
-    service: str = SERVICES[0]      # where the route goes, by the version in force here
+    service: str = SERVICES[0]  # where the route goes, by the version in force here
     version: int = 0
 
     @property
@@ -86,9 +86,9 @@
     def __post_init__(self) -> None:
         self.random = Random(self.seed)
         self.counter = RetryCounter(RULE.ratio, self.slack, RULE.window)
-        self.route = SERVICES[0]    # where it goes by the newest version
+        self.route = SERVICES[0]  # where it goes by the newest version
         self.failures = {service: Failure() for service in SERVICES}
-        self.came: dict[int, str] = {}      # the service of each request that a proxy has read
+        self.came: dict[int, str] = {}  # the service of each request that a proxy has read
         self.terms: list[Term] = []
         self.proxies: dict[str, Proxy] = {}
         self.lives = 0
@@ -105,14 +105,41 @@
         session = CoreSession(ip, "z", "r", {"z": "r"}, ["core"], {"life": self.lives}, self.now)
         classes = [api.RequestClass("read", AIM, DEADLINE, 1.0, api.Effect.SAFE)]
         plans = [api.Plan("public", 1.0)]
-        settings = api.Settings(0, 1, 0, classes, plans, 8, 0.0, 1.0, 0.0, 1.0, 1.0, 0.0, 0.001, most_units=1.0,
-                                may_advise=True, max_advice=3.0)
-        proxy = self.proxies[ip] = Proxy(ip, session, self.decider(settings, self.lives, self.now), self.lives,
-                                         service=self.route, version=self.version)
+        settings = api.Settings(
+            0,
+            1,
+            0,
+            classes,
+            plans,
+            8,
+            0.0,
+            1.0,
+            0.0,
+            1.0,
+            1.0,
+            0.0,
+            0.001,
+            most_units=1.0,
+            may_advise=True,
+            max_advice=3.0,
+        )
+        proxy = self.proxies[ip] = Proxy(
+            ip,
+            session,
+            self.decider(settings, self.lives, self.now),
+            self.lives,
+            service=self.route,
+            version=self.version,
+        )
         cells = {service: api.Cell(frozenset(b for b in BACKENDS if b.startswith(service))) for service in SERVICES}
         entries = [api.BackendEntry(backend, api.BackendState.READY) for backend in BACKENDS]
-        for event in (RULE, Catalogue(classes, plans), api.Cells(cells), api.Roster(api.RosterKind.FULL, 0, entries),
-                      BackendPlaces({}, dict.fromkeys(BACKENDS, 1000), {})):
+        for event in (
+            RULE,
+            Catalogue(classes, plans),
+            api.Cells(cells),
+            api.Roster(api.RosterKind.FULL, 0, entries),
+            BackendPlaces({}, dict.fromkeys(BACKENDS, 1000), {}),
+        ):
             self._tell(proxy, event)
         self._carry_out(proxy, session.linked(CORE, True, self.now))
         self._later(self.random.random() * TICK, lambda: self._tick(proxy))
@@ -190,14 +217,17 @@
         self.asked += 1
         request, sent = self.count, self.now
         self.counter.sent(self.route, sent)
-        if proxy.service != self.route:     # a version before is still in force there, as it may be for some seconds
+        if proxy.service != self.route:  # a version before is still in force there, as it may be for some seconds
             self.counter.sent(proxy.service, sent)
 
         def arrive() -> None:
             self.came[request] = proxy.service
             if self._gate(proxy):
-                self._tell(proxy, api.Request(request, 0, 0, -1, DEADLINE, 1.0, 1.0, 0.0, cell=proxy.service,
-                                              attempts=ATTEMPTS))
+                self._tell(
+                    proxy,
+                    api.Request(request, 0, 0, -1, DEADLINE, 1.0, 1.0, 0.0, cell=proxy.service, attempts=ATTEMPTS),
+                )
+
         self._at(proxy, 0.002, arrive)
 
     def _gate(self, proxy: Proxy) -> bool:
@@ -214,8 +244,14 @@
             failure = self.failures[service]
             status = failure.status if self.random.random() < failure.share else api.Status.OK
             self.served += status is api.Status.OK
-            self._at(proxy, ANSWER, lambda: self._tell(proxy, api.Outcome(
-                request, 0, backend, status, ANSWER + way, status is api.Status.OK, wrote=True)))
+            self._at(
+                proxy,
+                ANSWER,
+                lambda: self._tell(
+                    proxy, api.Outcome(request, 0, backend, status, ANSWER + way, status is api.Status.OK, wrote=True)
+                ),
+            )
+
         self._later(way, receive)
 
     # The core
@@ -242,11 +278,18 @@
             return
 
         def answer(message: list) -> None:
-            self._later(0.02, lambda: None if proxy.cut else self._at(
-                proxy, 0.0, lambda: self._carry_out(proxy, proxy.session.heard(CORE, message, self.now))))
+            self._later(
+                0.02,
+                lambda: None
+                if proxy.cut
+                else self._at(
+                    proxy, 0.0, lambda: self._carry_out(proxy, proxy.session.heard(CORE, message, self.now))
+                ),
+            )
 
         def renew() -> None:
             proxy.lease_until = max(proxy.lease_until, sent + LIFE)
+
         self._at(proxy, 0.02, renew)
         lenders = [term for term in self.terms if self.now <= term.until]
         term = self.random.choice(lenders[-2:]).allocator
@@ -266,10 +309,12 @@
 
     def _at(self, proxy: Proxy, after: float, do: Callable[[], None]) -> None:
         """Something comes to a proxy; one that stands still reads it when it goes on, a dead one never."""
+
         def come() -> None:
             if self.proxies.get(proxy.ip) is not proxy:
                 return
             do() if proxy.runs else proxy.frozen.append(do)
+
         self._later(after, come)
 
     def _run(self, until: float) -> None:
@@ -287,10 +332,24 @@
                     self._send(proxy, request, backend)
 
 
-Step = tuple[str, Any, Any]     # a method of the world, and what it is called with
-RESTS = (5.0, 30.0, 60.0, 600.0, 3600.0)    # s
-KINDS = ("serve", "serve", "serve", "rest", "fail", "fail", "heal", "kill", "freeze", "thaw", "cut", "join", "term",
-         "route")
+Step = tuple[str, Any, Any]  # a method of the world, and what it is called with
+RESTS = (5.0, 30.0, 60.0, 600.0, 3600.0)  # s
+KINDS = (
+    "serve",
+    "serve",
+    "serve",
+    "rest",
+    "fail",
+    "fail",
+    "heal",
+    "kill",
+    "freeze",
+    "thaw",
+    "cut",
+    "join",
+    "term",
+    "route",
+)
 
 
 def draw_step(random: Random) -> Step:
--- a/fennelpoint/system/span/brief_waiting.py
+++ b/fennelpoint/system/span/brief_waiting.py
@@ -8,9 +8,9 @@
 from fennelpoint.upkeep import PUMP_TOKEN
 from fennelpoint.waiting import Waiting
 
-HELD_PART = 0.22    # of an aim that a request waits without having been offered to a backend
-ADVICE, MOST_ADVICE = 0.15, 0.5     # s after which a refused client is told to come again: least and most
-OVER_ADVICE = 3.0   # s, for a quota that is used up
+HELD_PART = 0.22  # of an aim that a request waits without having been offered to a backend
+ADVICE, MOST_ADVICE = 0.15, 0.5  # s after which a refused client is told to come again: least and most
+OVER_ADVICE = 3.0  # s, for a quota that is used up
 
 
 class BriefWaiting(Waiting):
--- a/fennelpoint/system/span/decider.py
+++ b/fennelpoint/system/span/decider.py
@@ -32,16 +32,22 @@
     """The decisions of one front."""
 
     QUOTAS, SELECTION, WAITING = LeasedQuotas, NearestBackend, BriefWaiting
-    BUDGET = RetryBudget    # of each service
+    BUDGET = RetryBudget  # of each service
 
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
         self.retry_rule = RetryRule(0.0, 10.0)
-        self.budgets: dict[str, RetryBudget] = {}   # of retries, by service
-        self.slack = 0.0            # this proxy's share of the retry rule's slack
-        self.leased_until = inf     # when the shares end
-        self.on |= {Catalogue: self._catalogue, LeasedShares: self._leased, LeaseExtended: self._extended,
-                    BackendPlaces: self._placed, UnitsGranted: self._granted, RetryRule: self._bound_retries}
+        self.budgets: dict[str, RetryBudget] = {}  # of retries, by service
+        self.slack = 0.0  # this proxy's share of the retry rule's slack
+        self.leased_until = inf  # when the shares end
+        self.on |= {
+            Catalogue: self._catalogue,
+            LeasedShares: self._leased,
+            LeaseExtended: self._extended,
+            BackendPlaces: self._placed,
+            UnitsGranted: self._granted,
+            RetryRule: self._bound_retries,
+        }
 
     def handle(self, event: api.Event, now: float) -> list[api.Action]:
         """Guards what others hold by now: a process that stood still may hear of anything before its own timers."""
@@ -62,7 +68,7 @@
         self._share_slack(event.slack, now)
 
     def _extended(self, event: LeaseExtended, now: float) -> None:
-        if self.leased_until < inf:     # else nothing is leased
+        if self.leased_until < inf:  # else nothing is leased
             self.leased_until = max(self.leased_until, event.until)
 
     def _end_lease(self, now: float) -> None:
@@ -96,7 +102,7 @@
 
     def _outcome(self, o: api.Outcome, now: float) -> None:
         if o.wrote and (t := self.line.open.get(o.request)) is not None:
-            t.reached = True    # of a request cut off half way the backend may have counted the head
+            t.reached = True  # of a request cut off half way the backend may have counted the head
         super()._outcome(o, now)
 
     def _place(self, t: Try, now: float) -> bool:
--- a/fennelpoint/system/span/events.py
+++ b/fennelpoint/system/span/events.py
@@ -13,7 +13,7 @@
 from fennelpoint.system.roll.allocator import WHOLE
 from fennelpoint.system.span.core_session import Parts
 
-SLACK_PART = 0.9    # of the retry rule's slack, used: the rest pays for rounding, and for delays on the way
+SLACK_PART = 0.9  # of the retry rule's slack, used: the rest pays for rounding, and for delays on the way
 
 
 @dataclass(slots=True)
@@ -37,9 +37,9 @@
     """This proxy's share of each tenant's quota, by number; one that is not named has none."""
 
     shares: dict[int, float]
-    slack: float            # retries that this proxy may send in a budget's window, beside those by its ratio
-    pooled: bool = False    # a tenant that is not named draws from its pool
-    until: float = inf      # when all of it ends, unless it is extended
+    slack: float  # retries that this proxy may send in a budget's window, beside those by its ratio
+    pooled: bool = False  # a tenant that is not named draws from its pool
+    until: float = inf  # when all of it ends, unless it is extended
 
 
 @dataclass(slots=True)
@@ -64,7 +64,7 @@
     units: dict[int, float]
     denied: dict[int, float]
     until: float
-    soon: Set[int] = frozenset()    # customers of these that are short for a moment only
+    soon: Set[int] = frozenset()  # customers of these that are short for a moment only
 
 
 @dataclass(slots=True)
@@ -82,5 +82,5 @@
 def leased_shares(parts: Parts, plans: dict[str, int], slack: float) -> LeasedShares:
     """What a proxy may use by the parts that it holds; `plans` are numbers by tenant, `slack` is the retry rule's."""
     shares = {plans[tenant]: part / WHOLE for tenant, part in parts.quotas.items() if tenant in plans}
-    until = parts.until if parts.number else inf    # without a grant there is nothing that could end
+    until = parts.until if parts.number else inf  # without a grant there is nothing that could end
     return LeasedShares(shares, SLACK_PART * slack * parts.slack / WHOLE, parts.number > 0, until)
--- a/fennelpoint/system/span/placement.py
+++ b/fennelpoint/system/span/placement.py
@@ -12,10 +12,10 @@
 from fennelpoint.system.span.events import BackendPlaces
 from fennelpoint.upkeep import Ground, allowed
 
-QUEUE = 1.0         # of a backend's slots, own attempts out beyond them
-SECOND = 1.02       # s in which a cold backend's requests are counted, with what timers and clocks are off
+QUEUE = 1.0  # of a backend's slots, own attempts out beyond them
+SECOND = 1.02  # s in which a cold backend's requests are counted, with what timers and clocks are off
 WINDOW_LEAST = 2.0  # attempts out that a service's window always allows
-NOISE = 0.15        # of a usual latency, that a choice varies by chance: proxies don't see each other's requests
+NOISE = 0.15  # of a usual latency, that a choice varies by chance: proxies don't see each other's requests
 
 
 class NearestBackend(Confined):
@@ -24,7 +24,7 @@
     def __init__(self, ground: Ground) -> None:
         super().__init__(ground)
         self.places = BackendPlaces({}, {}, {})
-        self.sent_cold: dict[object, deque] = {}    # when tries were sent to a cold backend
+        self.sent_cold: dict[object, deque] = {}  # when tries were sent to a cold backend
 
     def take(self, event: BackendPlaces) -> None:
         self.places = event
@@ -36,7 +36,7 @@
 
     def learn_of(self, classes: list[api.RequestClass]) -> None:
         """Classes from now on; one that is new starts as all do."""
-        for cls in classes[len(self.typical):]:
+        for cls in classes[len(self.typical) :]:
             self.typical.append(FIRST_GUESS * cls.aim)
             self.usual.append(FIRST_GUESS * cls.aim)
 
--- a/fennelpoint/system/span/retry_budget.py
+++ b/fennelpoint/system/span/retry_budget.py
@@ -17,10 +17,10 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-CREDIT_PART = 0.5       # of the ratio, earned by each first attempt: a window may be paid by the requests of two
-CREDIT_LIFE = 7.0       # s that credit is good; with delays on the way less than the rule's window
-CREDIT_SLOT = 0.25      # s of requests whose credit is kept, and expires, together
-BURST_PART = 0.4        # of the slack's share, saved at most; the rest comes in during one window
+CREDIT_PART = 0.5  # of the ratio, earned by each first attempt: a window may be paid by the requests of two
+CREDIT_LIFE = 7.0  # s that credit is good; with delays on the way less than the rule's window
+CREDIT_SLOT = 0.25  # s of requests whose credit is kept, and expires, together
+BURST_PART = 0.4  # of the slack's share, saved at most; the rest comes in during one window
 ROUNDING = 1e-9
 
 
@@ -40,14 +40,14 @@
     window: float
     share: float
     filled_at: float
-    saved: float = 0.0      # of the slack
-    credits: deque[Credit] = field(default_factory=deque)   # the oldest first
+    saved: float = 0.0  # of the slack
+    credits: deque[Credit] = field(default_factory=deque)  # the oldest first
 
     def earn(self, came_at: float, now: float) -> None:
         """A request that came then is sent for the first time."""
         slot = int(min(came_at, now) // CREDIT_SLOT)
         place = len(self.credits)
-        while place and self.credits[place - 1].slot > slot:    # it has waited: its credit ends the sooner
+        while place and self.credits[place - 1].slot > slot:  # it has waited: its credit ends the sooner
             place -= 1
         if not place or self.credits[place - 1].slot < slot:
             self.credits.insert(place, Credit(slot, 0.0))
--- a/tests/system/test_retry_budget.py
+++ b/tests/system/test_retry_budget.py
@@ -26,21 +26,21 @@
 
 
 def test_the_counter_finds_what_is_beyond_and_only_that() -> None:
-    steady = [i / 10 for i in range(1000)]      # 100 in each window
+    steady = [i / 10 for i in range(1000)]  # 100 in each window
     allowed = [50.0 + i / 3 for i in range(25)]
     assert counted(steady, allowed) == pytest.approx(0.0)
     assert counted(steady, [*allowed, 50.1]) == pytest.approx(1.0)
-    assert counted(steady, [50.0] * 13 + [59.9] * 13) == pytest.approx(1.0)     # at both ends of one window
-    assert counted(steady, [50.0] * 13 + [60.1] * 13) < 0.0                    # in two
+    assert counted(steady, [50.0] * 13 + [59.9] * 13) == pytest.approx(1.0)  # at both ends of one window
+    assert counted(steady, [50.0] * 13 + [60.1] * 13) < 0.0  # in two
     # Requests of the window before count, and of the one that begins half a window earlier, but no older ones.
     burst = [float(i) / 100 for i in range(100)]
-    assert counted(burst, [10.5] * 15) == pytest.approx(0.0)   # 50 in the ten seconds before it
-    assert counted(burst, [9.0] * 25) == pytest.approx(0.0)    # all of them
+    assert counted(burst, [10.5] * 15) == pytest.approx(0.0)  # 50 in the ten seconds before it
+    assert counted(burst, [9.0] * 25) == pytest.approx(0.0)  # all of them
     assert counted(burst, [21.5] * 6) == pytest.approx(1.0)
     first = RetryCounter(0.2, 0.0, 10.0)
     first.sent("s", 1.0)
     first.received("s", "one", 1.0)
-    assert first.worst() is None    # the first arrival is none
+    assert first.worst() is None  # the first arrival is none
 
 
 @settings(max_examples=100, deadline=None, derandomize=True)
@@ -68,7 +68,7 @@
     world.serve(10.0, rate)
     worst = world.counter.worst()
     assert worst.excess <= 0.0, str(worst)
-    assert retries_of(world) >= 0.1 * min(rate * 10.0, 3.0 * proxies)   # and those that help are still sent
+    assert retries_of(world) >= 0.1 * min(rate * 10.0, 3.0 * proxies)  # and those that help are still sent
 
 
 def test_credit_of_a_service_that_lost_its_route_is_gone_when_the_route_comes_back() -> None:
@@ -108,7 +108,7 @@
 
 def test_savings_are_bounded_by_the_share_and_go_with_it() -> None:
     budget = RetryBudget(ratio=0.2, window=10.0, share=10.0, filled_at=0.0)
-    assert not budget.allows(0.0)       # the process before may have spent it
+    assert not budget.allows(0.0)  # the process before may have spent it
     assert budget.allows(3600.0) and budget.saved == pytest.approx(BURST_PART * 10.0)
     budget.lease(2.0, 3600.0)
     assert budget.saved == pytest.approx(BURST_PART * 2.0)
@@ -122,7 +122,7 @@
         budget.earn(came_at=100.0, now=103.0)
         budget.earn(came_at=103.0, now=103.0)
     assert sum(credit.amount for credit in budget.credits) == pytest.approx(4.0)
-    budget.spend(103.0)                 # of the oldest
+    budget.spend(103.0)  # of the oldest
     assert budget.allows(99.9 + CREDIT_LIFE)
     budget.allows(100.3 + CREDIT_LIFE)
     assert sum(credit.amount for credit in budget.credits) == pytest.approx(2.0)
