--- a/fennelpoint/system/roll/allocator.py
+++ b/fennelpoint/system/roll/allocator.py
@@ -259,7 +259,7 @@
             if part > 0:
                 bears[id] = part
         slack = min(GIVEN // len(alive), self._free("slack", "", GIVEN, front, now))
-        last = front.grants[-1] if front.grants else None
+        last = front.grants[-1] if front.grants and now < front.grants[-1].ends else None
         if last is not None and last.number and self._alike(last, quotas, bears, slack):
             last.ends = now + LIFE + SLACK
             return last
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -14,7 +14,17 @@
 )
 
 from fennelpoint.system.incarnation import first_number
-from fennelpoint.system.roll.allocator import DRAW_LIFE, FORGET, HOLD, LIFE, POOL_BURST, POOL_START, WHOLE, Allocator
+from fennelpoint.system.roll.allocator import (
+    DRAW_LIFE,
+    FORGET,
+    HOLD,
+    LIFE,
+    POOL_BURST,
+    POOL_START,
+    WHOLE,
+    Allocator,
+    Grant,
+)
 from fennelpoint.system.roll.duty import SPAN, Duty
 from fennelpoint.system.roll.roster import Roster
 from fennelpoint.system.span.core_session import CoreSession, Units
@@ -424,3 +434,15 @@
                 duty.voted(message[1], message[2], by, True, "abc", now)
         lost += turn > 40 and not duty.holds(now)
     assert lost == 0
+
+
+def test_a_grant_that_has_ended_is_not_lent_again_as_it_was() -> None:
+    """It is kept for what was sent by its cold rates; some of its quota is another's by now."""
+    allocator, now = Allocator([1, "a"], [], 0.0), 20.0
+    allocator.enrol(["f", "g"], 0.0)
+    for number, (ip, part, slack, ends) in enumerate((("f", 100, 985, now - 0.5), ("g", 905, 0, now + 4.0)), 1):
+        front = allocator.fronts[ip]
+        front.told, front.life, front.grants = {1}, 1, [Grant(number, {"t1": part}, {}, slack, ends)]
+    allocator.number = 2
+    grant = allocator.want("f", 1, "ra", [[1, "a"], 0], {"t1": 50}, None, {"t1": 20.0}, {}, now)
+    assert 0 < grant.quotas["t1"] <= WHOLE - 905
