Test: a front's decider hears the rule of retries and its lease by the program

Need: the wiring of ratio, window, share and end of the lease had no test of its own. Change: test_front.py starts a front with other figures of the rule.

--- a/tests/system/test_front.py
+++ b/tests/system/test_front.py
@@ -7,6 +7,8 @@
 
 from fennelpoint.standins.process import free_port
 from fennelpoint.system import settings
+from fennelpoint.system.roll.allocator import LIFE
+from fennelpoint.system.span.events import RetryRule
 from fennelpoint.system.span.program import Program
 
 CONFIGURATION = {"version": 3, "clusters": [{"name": "svc"}], "listener_table": [{"host": "h", "rule_set": [
@@ -32,14 +34,14 @@
                      f"Content-Length: 6\r\n\r\nbooked".encode())
 
 
-async def started(grace: float = 1.0) -> tuple[Program, Booking, int, int]:
+async def started(grace: float = 1.0, bounds: str = "") -> tuple[Program, Booking, int, int]:
     """A front that serves, its backend, and its ports for clients and for readiness."""
     public, readiness, inner = free_port(), free_port(), free_port()
     program = Program(asyncio.get_running_loop(), settings.build(settings.parse(
         f"node_name=f\nnode_role=r\nip_address=127.0.0.1\navailability_zone=za\nregion=ra\nzones.za=ra\n"
         f"internal_ports={inner},{inner + 5}\nseed_nodes=127.0.0.9:8200\n"
         f"listen_addresses.public_http=127.0.0.1:{public}\n"
-        f"listen_addresses.readiness=127.0.0.1:{readiness}\nrule_bounds.grace_period_s={grace}")))
+        f"listen_addresses.readiness=127.0.0.1:{readiness}\nrule_bounds.grace_period_s={grace}\n{bounds}")))
     await program.start()
     booking = Booking()
     server = await asyncio.start_server(booking.serve, "127.0.0.1", 0)
@@ -106,3 +108,22 @@
         program.close()
 
     asyncio.run(asyncio.wait_for(play(), 10.0))
+
+
+def test_the_decider_hears_the_rule_of_retries_its_share_of_the_slack_and_for_how_long_it_is_good() -> None:
+    async def play() -> None:
+        program, _, _, _ = await started(bounds="rule_bounds.retry_budget_ratio=0.3\nrule_bounds.budget_window_s=12\n"
+                                                "rule_bounds.budget_slack=100")
+        decider, session = program.host.controller, program.session
+        assert decider.retry_rule == RetryRule(0.3, 12.0)
+        grant = [[9, "a"], 1, [{}, {}, 500]]
+        program.take(CORE, ["lend", session._number(time.monotonic()), *grant])
+        assert decider.slack == 100 * 0.9 * 0.5
+        first = decider.leased_until
+        assert 0.0 < first - program.host.clock() <= LIFE
+        await asyncio.sleep(0)
+        program.take(CORE, ["lend", session._number(time.monotonic() + 0.5), *grant[:2], None])
+        assert decider.leased_until - first > 0.4
+        program.close()
+
+    asyncio.run(asyncio.wait_for(play(), 10.0))
