--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -17,11 +17,23 @@
 from fennelpoint import interface as api
 from fennelpoint.bodies import Budget, Upload
 from fennelpoint.control import Controller
+from fennelpoint.invariants import Invariant, violations
 from fennelpoint.net.backends import Answer, Backends, Exchange, load_report
 from fennelpoint.net.counter import Counter
 from fennelpoint.net.driver import Clock, Driver
 from fennelpoint.notice import complain, log
 
+LEFT_AT_WORK = 0.5  # s after its client left, within which the work for a repeatable request has to end
+
+
+@dataclass(slots=True)
+class Departures:
+    """Clients that left with attempts out, and what became of these."""
+
+    clients: int = 0
+    ended: int = 0      # attempts that were given up with the client
+    running: int = 0    # attempts that were left to run
+
 
 class Confining(Protocol):
     """What confines customers to cells, where the operator file names a plan."""
@@ -113,6 +125,7 @@
         self.tickets: dict[int, Ticket] = {}
         self.open_ids: set[bytes] = set()   # of the tickets, as the clients named them
         self.waiting = 0        # requests without an answer yet
+        self.departures = Departures()      # since they were last taken
         self.last_id = 0
         self._events: deque[api.Event] = deque()
         self._delivering = False
@@ -202,9 +215,33 @@
         """The client has closed its connection: nobody is owed an answer; what is out may end."""
         ticket = self.tickets.get(request)
         if ticket is not None and ticket.client is not None:
+            out = len(ticket.out)
             self._finish(ticket, lambda client: None)
             self.post(api.ClientGone(request))
             self._drop_useless(ticket)
+            self._departed(ticket, out)
+
+    def _departed(self, ticket: Ticket, out: int) -> None:
+        """Count a client that left with so many attempts out, and look later at what must have ended by then."""
+        if not out:
+            return
+        running = len(ticket.out)
+        self.departures.clients += 1
+        self.departures.ended += out - running
+        self.departures.running += running
+        if running and not ticket.asked.is_write:
+            self.loop.call_later(LEFT_AT_WORK, self._check_ended, ticket)
+
+    @staticmethod
+    def _check_ended(ticket: Ticket) -> None:
+        if ticket.out:
+            detail = f"request {ticket.id} has {len(ticket.out)} attempts out"
+            violations.record(Invariant.CLIENT_LEFT_ENDS_WORK, detail)
+
+    def take_departures(self) -> Departures:
+        """The departures since this was last called."""
+        taken, self.departures = self.departures, Departures()
+        return taken
 
     def _drop_useless(self, ticket: Ticket) -> None:
         """Nobody takes the rest of an answer that has begun, and half a request is no use to a backend."""
@@ -296,6 +333,8 @@
             return ticket.client is not None and (self.gate is None or self.gate())
 
         def render() -> bytes:
+            if ticket.client is None:
+                violations.record(Invariant.CLIENT_LEFT_NOTHING_SENT, f"request {ticket.id}")
             if ticket.asked.upload is None:
                 return ticket.asked.render(until - self.clock(), send.backend)
             self.post(api.Spent(send.request))  # what is written is held no more
--- a/fennelpoint/system/__main__.py
+++ b/fennelpoint/system/__main__.py
@@ -20,6 +20,7 @@
 from docopt import docopt
 from result import Err
 
+from fennelpoint.invariants import violations
 from fennelpoint.system import settings as boot
 from fennelpoint.system.events import Event, say, to_stderr
 
@@ -54,6 +55,8 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, program.stop)
+    violations.report = lambda invariant, detail, count: say(
+        Event.VIOLATED, node=settings.node_name, invariant=invariant.name, count=count, detail=detail)
     await program.start()
     say(Event.START, role=role, node=settings.node_name)
     loop.call_later(WATCH, watch)
--- a/fennelpoint/system/actions.py
+++ b/fennelpoint/system/actions.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from fennelpoint.invariants import Invariant
+
 
 @dataclass(slots=True)
 class Send:
@@ -19,3 +21,11 @@
 
     event: str
     fields: dict
+
+
+@dataclass(slots=True)
+class Violation:
+    """An invariant that does not hold: to be counted and logged."""
+
+    invariant: Invariant
+    detail: str
--- a/fennelpoint/system/events.py
+++ b/fennelpoint/system/events.py
@@ -40,11 +40,18 @@
     GONE = (311, "info", "{id} is gone", "A backend left in order.")
     LOST = (312, "warning", "{ids} say nothing any more", "Backends that no core machine has heard for some beats.")
     FOUND = (313, "info", "{ids} speak again", "They are sent to again.")
+    BEYOND_REGION = (314, "warning", "the directory of {node} named proxies beyond {region}: {answers} answers in "
+                     "{span} s, the last with {ready} ready, {silent} silent and {unready} not ready of the region, "
+                     "the registry {age} s old", "Clients were led to other regions, for want of proxies in theirs.")
     LAPSED = (400, "warning", "{node} holds no lease: {reason}", "Nothing is sent on until a core machine answers.")
     APPLIED = (401, "info", "{node} goes by version {version}", "From now on requests go by it.")
     CUTS = (402, "notice", "{node} cuts {cut}: {failing} over its aim, confidence {confidence}",
             "Admission takes rate off these, lucky ones first, until those within their quota meet their aims.")
     RESTORES = (403, "info", "{node} cuts nobody any more", "No tenant within its quota misses its aim.")
+    CLIENTS_LEFT = (404, "info", "{node}: {clients} clients left with attempts out; {ended} attempts were ended, "
+                    "{running} run on", "Work for them is ended where it may be; what may run once only runs on.")
+    VIOLATED = (500, "error", "{node}: {invariant} is violated, {count} so far: {detail}", "A defect of this "
+                "program: what must always hold did not. Service goes on; report it with the log.")
 
 
 def say(event: Event, **fields: object) -> None:
--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -16,6 +16,7 @@
 from fennelpoint.system.mesh import ip_of, name
 from fennelpoint.system.roll.allocator import HOLD, Allocator
 from fennelpoint.system.roll.contact import Contact
+from fennelpoint.system.roll.directory import FRESH, Directory, homes_by_host
 from fennelpoint.system.roll.duty import SPAN, Duty
 from fennelpoint.system.roll.office import Office
 from fennelpoint.system.roll.roster import Roster
@@ -24,7 +25,6 @@
 from fennelpoint.system.settings import Bounds
 from fennelpoint.system.web import Asking, Reply
 
-FRESH = 1.8         # s without an ask after which a front is left out of the directory
 TTL = 2.0           # s that clients may hold an answer
 WAIT_DRAIN = 0.9    # s for a majority to hold a drain
 COLD_TILL_HEARD = 1.6   # beats that a backend off the disk counts as cold at most
@@ -59,7 +59,7 @@
     def __init__(self, me: str, zone: str, region: str, regions: dict[str, str], seeds: list[str], port: int,
                  bounds: Bounds, beat: float, life: int, first: bool, now: float) -> None:
         self.me, self.zone, self.region, self.regions, self.port = me, zone, region, regions, port
-        self.bounds, self.beat, self.ttl, self.life, self.born = bounds, beat, min(TTL, bounds.ttl_max_s), life, now
+        self.bounds, self.beat, self.life, self.born = bounds, beat, life, now
         self.seeds = seeds
         self.store = name("writ", me)
         self.backends, self.members = Backends(), Members()
@@ -98,6 +98,7 @@
         self.doubt_at = now
         self.out: list = []
         self.office = Office(self)
+        self.directory = Directory(me, self.members, min(TTL, bounds.ttl_max_s), now)
         self.leaving = Leaving(within(bounds.grace_period_s))
 
     def restore(self, rows: list[list], now: float) -> None:
@@ -196,6 +197,7 @@
         if now >= self.sweep_at:
             self.sweep_at = now + 0.25
             self._forget(now)
+            self.out += self.directory.notes(now)
             # Guards against an outage made by ourselves: who hears no majority, or has just begun to, has not
             # heard of many that live.
             if not self.in_touch(now):
@@ -648,6 +650,7 @@
         if digest != self.figured and (data := self.contents.get(digest)) is not None:
             self.figured = digest
             value = versions.json.loads(zlib.decompress(data))
+            self.directory.homes = homes_by_host(value)
             self.rates = {t["name"]: float(t.get("rate_per_s") or 0.0) for t in value.get("tenants", ())
                           if t.get("rate_per_s")}
             self.bursts = {t["name"]: float(t.get("burst_size") or 0.0) for t in value.get("tenants", ())}
@@ -725,10 +728,11 @@
     def _call_resolve(self, asking: Asking, now: float) -> None:
         zone = asking.query.get("availability_zone", "")
         region = asking.query.get("region") or self.regions.get(zone, "")
-        addresses = self.members.near(zone, region, now, FRESH)[:64]
-        if not addresses:
+        told = self.directory.resolve(asking.query.get("name", ""), zone, region, self.whole_since, now)
+        self.out += told.violations
+        if not told.addresses:
             return self.answer(asking, fault(503, "no front is ready"))
-        self.answer(asking, Reply(200, {"addresses": addresses, "ttl_s": self.ttl}))
+        self.answer(asking, Reply(200, {"addresses": told.addresses, "ttl_s": told.ttl}))
 
     def _on_changed(self, peer: str, now: float, token: int, status: int, reason: str, world: dict | None) -> None:
         if world is not None:
--- a/fennelpoint/system/roll/program.py
+++ b/fennelpoint/system/roll/program.py
@@ -6,6 +6,8 @@
 import secrets
 import time
 
+from fennelpoint.invariants import violations
+from fennelpoint.system.actions import Violation
 from fennelpoint.system.events import Event, say
 from fennelpoint.system.mesh import Mesh, name
 from fennelpoint.system.roll.desk import Answer, Desk, Note, Save, Send
@@ -70,6 +72,8 @@
                     asking.answer(reply)
                 case Note(event, fields):
                     say(Event[event], **fields)
+                case Violation(invariant, detail):
+                    violations.record(invariant, detail)
 
     def reload(self, settings: Settings) -> None:
         self.desk.seeds = settings.seeds
--- a/fennelpoint/system/roll/view.py
+++ b/fennelpoint/system/roll/view.py
@@ -160,10 +160,3 @@
         if old is not None and now - age < old.heard:
             return      # what was said earlier; lives are drawn, and tell no order
         self.known[ip] = Member(ip, address, zone, region, life, ready, version, now - age, direct)
-
-    def near(self, zone: str, region: str, now: float, fresh: float, least: int = 2) -> list[str]:
-        """Addresses of fronts that are ready, for a client there: its region's, or all where that has few."""
-        ready = [m for m in self.known.values() if m.ready and now - m.heard <= fresh]
-        ours = [m for m in ready if m.region == region]
-        chosen = ours if len(ours) >= least else ready
-        return [m.address for m in sorted(chosen, key=lambda m: (m.zone != zone, m.region != region, m.address))]
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -239,6 +239,13 @@
         self.server.sweep()
         self.backends.sweep()
         self._tell_cuts()
+        self._tell_departures()
+
+    def _tell_departures(self) -> None:
+        departed = self.host.take_departures()
+        if departed.clients:
+            say(Event.CLIENTS_LEFT, node=self.settings.node_name, clients=departed.clients, ended=departed.ended,
+                running=departed.running)
 
     def _tell_cuts(self) -> None:
         """What admission decided since the last look; it decides each half second at most."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,7 @@
 from fennelpoint import interface as api
 from fennelpoint.cells.confined import CelledController
 from fennelpoint.fleet import figures
+from fennelpoint.invariants import violations
 
 # The same verdict every time: examples are drawn from the test's own text, and none are kept.
 hypothesis_profile.register_profile("same", derandomize=True, deadline=None, database=None)
@@ -21,6 +22,14 @@
 if os.access(memory := "/dev/shm", os.W_OK):
     os.environ.setdefault("LARCHWING_RIG_FOLDER", memory)
 
+@pytest.fixture(autouse=True)
+def no_invariant_is_violated():
+    """Any violation that the code counts while a test runs fails that test."""
+    violations.counts.clear()
+    yield
+    assert violations.counts == {}
+
+
 READY, DRAINING, GONE = api.BackendState.READY, api.BackendState.DRAINING, api.BackendState.GONE
 SAFE, UNSAFE, KEYED = 0, 1, 2
 HARD, SOFT, CAPPED, SLOTS = 0, 1, 2, 3
