--- /dev/null
+++ b/tests/system/test_directory.py
@@ -0,0 +1,32 @@
+"""Where the directory leads clients: by what is known of the proxies of their region (incident HOME)."""
+
+import pytest
+
+from fennelpoint.system.roll.directory import Directory
+from fennelpoint.system.roll.view import Members
+
+TTL = 2.0  # s
+LONG_IN_TOUCH, NOW = 100.0, 200.0  # s
+PLACES = {"fa": "ra", "fb": "rb", "fc": "rc", "fd": "ra"}  # regions by proxy
+
+
+def directory(unready: set[str], homes: list[str], host: str = "h.example") -> Directory:
+    """One that has just heard all proxies, of which some are not ready."""
+    members = Members()
+    for proxy, region in PLACES.items():
+        members.fold(proxy, proxy, f"z{region}", region, 1, proxy not in unready, 3, 0.1, NOW)
+    made = Directory("a1", members, TTL, 0.0)
+    made.homes = {host: frozenset(homes)} if homes else {}
+    return made
+
+
+def named(made: Directory, region: str, host: str = "h.example") -> list[str]:
+    """The proxies that a client of that region is told, by a registry that has long been in touch."""
+    return made.resolve(host, f"z{region}", region, LONG_IN_TOUCH, NOW).addresses
+
+
+@pytest.mark.parametrize("homes, told", [(["ra"], ["fa"]), (["ra", "rb"], ["fa", "fb"])])
+def test_one_proxy_that_is_left_of_a_region_leads_nowhere_but_to_the_homes_of_the_host(
+    homes: list[str], told: list[str]
+) -> None:
+    assert named(directory({"fd"}, homes), "ra") == told
