GONE: work for a client that left ends at once where it may

Cause: whether a client waits was known to the connection, the host's ticket and the module's request, and each forgot it by itself; the attempt at the backend was told only where its answer or body was of no use. A connection whose reading is paused told nothing of its peer's end.

Change: the host ends the attempts of a repeatable request with its client; what may run once only runs on. An attempt that is ended before it is written is moot; one that is ended later tells that its backend takes at least so long.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -174,9 +174,9 @@
         b, t = self.fleet.known.get(event.backend), self.line.open.get(event.request)
         if b is not None and event.request in b.out:
             o = api.Outcome(event.request, event.attempt, event.backend, api.Status.OK, event.latency, False)
-            crowd = b.out[event.request][3].crowd
+            sent = b.out[event.request][3]
             self.fleet.begin(b, event.request)
-            self.selection.learn(b, o, t, crowd, now)
+            self.selection.learn(b, o, t, sent, now)
         if t is not None:
             self.regulation.answered(t, now)
             self.line.end(event.request)
@@ -185,9 +185,9 @@
     def _outcome(self, o: api.Outcome, now: float) -> None:
         backend, t = self.fleet.known.get(o.backend), self.line.open.get(o.request)
         if backend is not None and o.request in backend.out:
-            crowd = backend.out[o.request][3].crowd
+            sent = backend.out[o.request][3]
             self.fleet.answer(backend, o.request)
-            self.selection.learn(backend, o, t, crowd, now)
+            self.selection.learn(backend, o, t, sent, now)
         elif backend is not None and o.request in backend.begun:
             self.fleet.answer(backend, o.request)
             if o.status in (api.Status.RESET, api.Status.ERROR):    # its answer broke
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -85,13 +85,14 @@
     def give_up(self, status: Status) -> None:
         """Stop waiting: the connection is closed, so that the backend sees it and no late answer is read.
 
-        What was not written whole can't have run, whatever made us stop.
+        What was not written whole can't have run, whatever made us stop; that is no fault of the backend's where
+        the wish to send it has ended.
         """
         connection, connecting = self.connection, self.connecting
         if connecting is not None:
             connecting.cancel()
         if connection is None or not connection.written:
-            status = Status.CONNECT_FAILED
+            status = Status.MOOT if status is Status.CANCELLED else Status.CONNECT_FAILED
         if connection is not None:
             connection.exchange = None
             connection.close()
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -59,6 +59,7 @@
     def done(self) -> None: ...
     def broken(self) -> None: ...
     def taken_on(self) -> None: ...
+    def hung_up(self) -> bool: ...
     def refused(self, retry_after: float) -> None: ...
     def failed(self) -> None: ...
 
@@ -212,7 +213,7 @@
         return txn in self.open_ids
 
     def gone(self, request: int) -> None:
-        """The client has closed its connection: nobody is owed an answer; what is out may end."""
+        """The client has closed its connection: nobody is owed an answer, and its work ends where it may."""
         ticket = self.tickets.get(request)
         if ticket is not None and ticket.client is not None:
             out = len(ticket.out)
@@ -244,8 +245,13 @@
         return taken
 
     def _drop_useless(self, ticket: Ticket) -> None:
-        """Nobody takes the rest of an answer that has begun, and half a request is no use to a backend."""
-        if ticket.begun or (ticket.asked.upload is not None and not ticket.asked.upload.whole):
+        """End the attempts that are of no use to anybody once the client has left.
+
+        The rest of an answer that has begun, half a request, and the run of a request that may be repeated.  One that
+        may run once only runs on: broken off, it may have run in part, and whoever asked could not tell.
+        """
+        upload = ticket.asked.upload
+        if ticket.begun or not ticket.asked.is_write or (upload is not None and not upload.whole):
             for exchange in list(ticket.out.values()):
                 exchange.give_up(api.Status.CANCELLED)
 
@@ -287,6 +293,9 @@
 
     def _send(self, send: api.Send) -> None:
         ticket, now = self.tickets.get(send.request), self.clock()
+        # Guards a backend's time: the end of a client that is in a hurry may still wait to be read.
+        if ticket is not None and ticket.client is not None and ticket.client.hung_up():
+            self.gone(ticket.id)
         number = ticket.attempts if ticket is not None else 0
         if (ticket is None or ticket.client is None or ticket.begun or now >= ticket.deadline
                 or send.timeout < 0.0 or number >= self.settings.max_attempts
--- a/fennelpoint/selection.py
+++ b/fennelpoint/selection.py
@@ -111,20 +111,18 @@
     def report(self, b: Backend, values: list[float], now: float) -> None:
         """Take in a backend's own word on the requests it holds."""
         told = {k: v for k, v in zip(self.settings.report_fields, values, strict=False) if 0.0 <= v < inf}
-        # Guards against flocking: util tells how busy the cores are, not how many wait.  Taken for a line
-        # without bound, one old report of a busy moment kept all ingresses away from an idle server.
+        # Guards against flocking: util tells how busy the cores are, not how many wait; a report grows old.
         held = max(told.get("inflight", 0.0), told.get("queue", 0.0), min(1.0, told.get("util", 0.0)))
         self.usual_held += LEARN / 4 * (held - self.usual_held) if told else 0.0
         # Where nothing is told: guards against reports that stop just from the busy ones.
         b.reported, b.reported_at = held if told else max(b.reported, 2.0 * self.usual_held), now
 
-    def learn(self, b: Backend, o: api.Outcome, t: Try | None, crowd: Crowd, now: float) -> None:
+    def learn(self, b: Backend, o: api.Outcome, t: Try | None, sent: Try, now: float) -> None:
         self.report(b, o.report, now) if o.report else None
         if o.status is api.Status.FULL:
             b.rest_until = now + 2 * PAUSE_FULL
-            # Guards against a stop of all for a few that were turned away: no latency tells of a crowd here,
-            # so it takes most of them to cut, and no sooner than an answer would show the last cut.
-            self.press(crowd, 2.0 * TARGET, max(self.usual), now)
+            # Guards against a stop of all for a few that were turned away: it takes most of them to cut.
+            self.press(sent.crowd, 2.0 * TARGET, max(self.usual), now)
         elif o.status is api.Status.OK and t is not None and 0.0 <= o.latency < inf:
             cls, slow, b.fails = t.ask.cls, self.slowness(b, now), 0
             aim = self.settings.classes[cls].aim
@@ -133,10 +131,13 @@
                 self.typical[cls] += gap * (SLOWER if gap > 0 else FASTER)
             self.usual[cls] += LEARN * (min(o.latency, aim / 2 / LATE_MARGIN) - self.usual[cls])
             b.slow, b.slow_at = slow + LEARN * (o.latency / self.typical[cls] - slow), now
-            self.press(crowd, o.latency / aim - min(TARGET, self.typical[cls] / aim), o.latency, now)
-        elif o.status not in (api.Status.OK, api.Status.CANCELLED, api.Status.MOOT):
-            # Guards against blaming one event for each attempt that it ended: when all connections break at
-            # once, a backend that is well again would be shunned for many seconds.
+            self.press(sent.crowd, o.latency / aim - min(TARGET, self.typical[cls] / aim), o.latency, now)
+        elif o.status is api.Status.CANCELLED:
+            # Guards against a slow backend that looks idle, as clients leave before it answers.
+            least, slow = o.latency / self.typical[sent.ask.cls], self.slowness(b, now)
+            b.slow, b.slow_at = max(slow, slow + LEARN * (least - slow)), now
+        elif o.status not in (api.Status.OK, api.Status.MOOT):
+            # Guards against blaming one event, as a break of all connections, for each attempt it ended.
             if now - o.latency >= b.failed_at:
                 self.fail(b, now)
                 b.fails, b.rest_until = b.fails + 1, now + min(REST_MOST, 2 * PUMP * 2.0 ** b.fails)
@@ -145,8 +146,7 @@
     def press(self, crowd: Crowd, ratio: float, latency: float, now: float) -> None:
         """More attempts may be out while little of the aim is lost to crowding; under one, we rest."""
         # Counts what comes very late as one aim: guards against a few stalled backends that stop us all.
-        # Guards an ingress with few answers: cut once in the time one takes, by the mean of five, it is cut
-        # by chance sooner than its few answers grow it, though most of the fleet is idle.
+        # Guards an ingress with few answers, which is cut by chance sooner than those grow it again.
         crowd.pressure += LEARN * (min(1.0, ratio) - crowd.pressure)
         crowd.evidence += 1
         if crowd.pressure <= TARGET and crowd.out + 1 >= crowd.window:
--- a/fennelpoint/system/client.py
+++ b/fennelpoint/system/client.py
@@ -185,6 +185,9 @@
         except (OSError, TimeoutError) as error:
             line.transport.abort()
             return Err(Failure(f"{method} {path}", at, str(error) or "no answer in time", 504))
+        except asyncio.CancelledError:
+            line.transport.abort()  # so that the proxy sees that nobody waits any more
+            raise
         if not line.transport.is_closing():
             self._keep(line, answer)
         return Ok(answer)
--- a/fennelpoint/system/span/reader.py
+++ b/fennelpoint/system/span/reader.py
@@ -14,7 +14,7 @@
 from fennelpoint.bodies import Upload
 from fennelpoint.net.backends import HOP_BY_HOP
 from fennelpoint.net.host import Asked
-from fennelpoint.net.server import BadRequest, Reader, Reply, framing
+from fennelpoint.net.reader import BadRequest, Reader, Reply, framing
 from fennelpoint.system.versions import Holder, Route, Version
 
 ID = re.compile(rb"[!-~]{1,128}")
--- a/tests/system/test_client.py
+++ b/tests/system/test_client.py
@@ -108,3 +108,25 @@
         return await Client(["127.0.0.1:1"]).request("GET", "h", "/", deadline=0.2, repeatable=True)
     answer = asyncio.run(run())
     assert isinstance(answer, Err) and answer.err_value.step == "resolve" and "127.0.0.1:1" in str(answer.err_value)
+
+
+def test_a_request_that_is_cancelled_closes_its_connection_so_that_the_front_can_tell() -> None:
+    left = asyncio.Event()
+
+    async def work(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        came.set()
+        await reader.read()
+        left.set()
+
+    async def run() -> None:
+        server = await asyncio.start_server(work, "127.0.0.1", 0)
+        directory = Door(resolved("%s:%d" % server.sockets[0].getsockname()))     # noqa: UP031
+        client = Client([await directory.start()])
+        request = asyncio.create_task(client.request("GET", "h", "/", deadline=30.0, repeatable=True))
+        await came.wait()
+        request.cancel()
+        await asyncio.wait_for(left.wait(), 1.0)
+
+    came = asyncio.Event()
+    asyncio.run(run())
--- a/tests/system/test_span.py
+++ b/tests/system/test_span.py
@@ -10,7 +10,7 @@
 from fennelpoint.bodies import Budget
 from fennelpoint.net.backends import Exchange
 from fennelpoint.net.driver import Clock
-from fennelpoint.net.server import BadRequest, Reply
+from fennelpoint.net.reader import BadRequest, Reply
 from fennelpoint.system.span.brief_waiting import HELD_PART
 from fennelpoint.system.span.decider import Decider
 from fennelpoint.system.span.events import (
--- a/tests/test_concerns.py
+++ b/tests/test_concerns.py
@@ -40,6 +40,19 @@
     assert quotas.room(t, 100.6) and g.out == []
 
 
+def test_a_backend_that_clients_leave_before_it_answers_counts_as_slow_and_not_as_idle():
+    selection = Selection(g := ground())
+    selection.roster(api.Roster(api.RosterKind.FULL, 1, [api.BackendEntry(n, READY) for n in "ab"]), 100.0)
+    sent = new_try(g, Quotas(g))
+    left, seen = selection.fleet.known["a"], []
+    for _ in range(4):
+        selection.learn(left, api.Outcome(1, 0, "a", api.Status.CANCELLED, 1.0, True), None, sent, 100.0)
+        seen.append(selection.slowness(left, 100.0))
+    assert seen == sorted(seen) and seen[-1] > 3.0 and left.fails == 0
+    selection.learn(left, api.Outcome(1, 0, "a", api.Status.CANCELLED, 0.001, True), None, sent, 100.0)
+    assert selection.slowness(left, 100.0) == seen[-1]  # one that left at once tells nothing
+
+
 @pytest.mark.parametrize("slow, chosen", [("a", "b"), ("b", "a")])
 def test_a_choice_goes_by_what_answers_told_and_by_what_is_out(slow, chosen):
     quotas, selection = Quotas(g := ground()), Selection(g)
