HOME: the directory leads beyond a region only by a whole view, and to homes

Cause: a fallback meant for the loss of a region was taken on weaker evidence, fewer than two proxies that are ready here and now, and was bounded by nothing: a roll of proxies or a registry that has just started led clients of hosts with homes to all regions.

Change: the region's own come first; one that is left comes with a second address, in turn, out of the host's homes where it has any; without any, the homes, and all regions once nothing inside lives; nothing beyond by a view that is not whole; thin answers live 0.5 s.

--- a/fennelpoint/system/roll/directory.py
+++ b/fennelpoint/system/roll/directory.py
@@ -1,4 +1,13 @@
-"""The directory's decider: which proxies a client is sent to, and a record of answers beyond the client's region."""
+"""The directory's decider: which proxies a client is sent to, and a record of answers beyond the client's region.
+
+A client is sent to the proxies of its own region.  Where only one is left, it is told a second one, so that it has
+somewhere to go when that fails; without any it is told all that may serve it.  Those are the proxies of the homes of
+the host that it asks for, where the host's routes have homes, and of all regions otherwise; for a host with homes the
+other regions come in only once nothing inside lives.  A view that is not whole proves nothing about others: then only
+the region's own are named, and where there are none, the client is told to ask another machine.
+
+See `docs/design/directory.md`.
+"""
 
 from __future__ import annotations
 
@@ -9,8 +18,10 @@
 from fennelpoint.system.roll.view import Member, Members
 
 FRESH = 1.8  # s without an ask after which a proxy is left out
+WHOLE_AFTER = 1.8  # s in touch with a majority after which the view holds every proxy that lives: asks and gossip
 MOST_NAMED = 64  # addresses in an answer
-ENOUGH = 2  # proxies of a region, with fewer of which its clients are sent to all
+ENOUGH = 2  # addresses in an answer, so that a client has somewhere to go when one fails
+BRIEF_TTL = 0.5  # s that such an answer may be held: better ones are likely to come
 TELL_EVERY = 1.0  # s between two notes on one region
 
 
@@ -60,6 +71,7 @@
     def __init__(self, node: str, members: Members, ttl: float, born: float) -> None:
         self.node, self.members, self.ttl, self.born = node, members, ttl, born
         self.homes: dict[str, frozenset[str]] = {}  # by host; none: no homes
+        self.turn = 0  # so that a second address is not always the same
         self.beyond: dict[str, AnswersBeyond] = {}  # by the client's region
 
     def resolve(self, host: str, zone: str, region: str, whole_since: float | None, now: float) -> Resolved:
@@ -70,9 +82,26 @@
         homes = self.homes.get(host, frozenset())
         ready = [member for member in self.members.known.values() if self._is_ready(member, now)]
         inside = [member for member in ready if member.region == region]
-        named = inside if len(inside) >= ENOUGH else ready
+        named, ttl = inside, self.ttl
+        if len(inside) < ENOUGH:
+            ttl = min(self.ttl, BRIEF_TTL)
+            if whole_since is not None and now - whole_since >= WHOLE_AFTER:
+                named = self._with_others(inside, ready, homes, region)
         named = sorted(named, key=lambda m: (m.zone != zone, m.region != region, m.address))[:MOST_NAMED]
-        return Resolved([member.address for member in named], self.ttl, self._check(named, homes, region, now))
+        return Resolved([member.address for member in named], ttl, self._check(named, homes, region, now))
+
+    def _with_others(
+        self, inside: list[Member], ready: list[Member], homes: frozenset[str], region: str
+    ) -> list[Member]:
+        """Those of a region that has too few, with others that may serve the client."""
+        others = [member for member in ready if member.region != region and (not homes or member.region in homes)]
+        if not inside:
+            return others or ready
+        if not others:
+            return inside
+        self.turn += 1
+        others.sort(key=lambda member: member.address)
+        return [*inside, others[self.turn % len(others)]]
 
     def notes(self, now: float) -> list[Note]:
         """What is to be logged by now."""
--- a/tests/system/test_directory.py
+++ b/tests/system/test_directory.py
@@ -30,3 +30,22 @@
     homes: list[str], told: list[str]
 ) -> None:
     assert named(directory({"fd"}, homes), "ra") == told
+
+
+def test_one_proxy_that_is_left_comes_with_a_second_one_in_turn_for_a_host_without_homes() -> None:
+    made = directory({"fd"}, [])
+    assert [named(made, "ra") for _ in range(4)] == [["fa", "fc"], ["fa", "fb"]] * 2
+
+
+def test_a_registry_that_has_just_come_in_touch_leads_nobody_to_other_regions() -> None:
+    made = directory({"fa", "fd"}, [])
+    assert made.resolve("h.example", "zra", "ra", None, NOW).addresses == []
+    assert made.resolve("h.example", "zra", "ra", NOW - 1.0, NOW).addresses == []
+    assert named(made, "ra") == ["fb", "fc"]
+
+
+@pytest.mark.parametrize("homes, told", [(["rb"], ["fb"]), (["ra", "rb"], ["fb"]), ([], ["fb", "fc"])])
+def test_a_region_without_proxies_is_led_to_the_homes_of_the_host_if_it_has_any(
+    homes: list[str], told: list[str]
+) -> None:
+    assert named(directory({"fa", "fd"}, homes), "ra") == told
