A proxy near its end takes only requests that surely end in time

Change: from 0.45 of the grace on (2.7 s at most) such requests are refused at once with Retry-After; nothing of them has run (LifeCycle.too_late).

Measured: test_a_front_near_its_end_takes_only_what_surely_ends_in_time fails with the three files as they were and passes now; 173 tests of front, life cycle, server and program pass.

--- a/fennelpoint/lifecycle.py
+++ b/fennelpoint/lifecycle.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from math import inf
 
 SETTLE = 0.5        # s after a drain or SIGTERM that the front still sends here: it learns late
 STOP_WITHIN = 3.4   # s after SIGTERM by which all is answered and the process gone
@@ -80,9 +81,11 @@
 class LifeCycle:
     """Where an ingress stands.  `handle` takes events; `look` tells what is due at a time."""
 
-    def __init__(self, now: float, settle: float = SETTLE, stop_within: float = STOP_WITHIN) -> None:
+    def __init__(self, now: float, settle: float = SETTLE, stop_within: float = STOP_WITHIN,
+                 takes_any: float = inf) -> None:
         self.phase, self.since = Phase.STARTING, now
         self.settle, self.stop_within = settle, stop_within
+        self.takes_any = takes_any  # s after SIGTERM from which only what surely ends in time is taken
         self.listed = False
         self.barred = False     # whoever asks by what right it acts has said no
 
@@ -109,6 +112,11 @@
         """Whether a client's connection outlives its answer."""
         return self.phase in KEEPING
 
+    def too_late(self, time_left: float, now: float) -> bool:
+        """Whether a request that comes now, and has so many s left, may still be at work when the process ends."""
+        age = now - self.since
+        return self.phase in ENDING and age >= self.takes_any and age + time_left > self.stop_within
+
     @property
     def ending(self) -> bool:
         return self.phase in (*ENDING, Phase.STOPPED)
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -33,6 +33,7 @@
 HEAD_TIMEOUT = 2.5      # s for a request to come whole, from the connect or from its first byte
 IDLE_TIMEOUT = 5.0      # s that a connection may stand with nothing open
 RESET = struct.pack("ii", 1, 0)    # to close without a linger: by a reset
+ELSEWHERE_ADVICE = 0.02 # s, of a process that ends: another may serve it at once
 LINGER = 0.5            # s to read on after an error, so that its answer is not lost with a reset
 MOST_DRAINED = 1024 * 1024  # bytes read and dropped meanwhile
 BACKLOG = 1024          # connections that wait to be accepted
@@ -343,6 +344,8 @@
             elif self.server.host.is_open(what.txn):
                 # Guards against a second copy in another's name: an id is new with every request.
                 self._write(409, (), b"this id is open\n", keep=False)
+            elif self.server.life.too_late(what.coming + what.time_left, time.monotonic()):
+                self.refused(ELSEWHERE_ADVICE)
             else:
                 self._stand(None)
                 self.bare = what.bare
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -38,6 +38,7 @@
 TICK = 0.05         # s
 SWEEP = 0.25        # s between looks at idle connections
 SETTLE, END = 0.72, 0.93    # of the grace: clients still come; all is answered
+TAKES_ANY, TAKES_ANY_MOST = 0.45, 2.7   # of the grace, and s: any request is taken, however long it may last
 NEAR, FAR_ZONE, FAR_REGION = (0.0, 0.0), (0.004, 0.1), (0.05, 0.7)    # what a place costs in the choice
 CONNECT = 0.4       # s for a connection to a backend
 OVER_PART, MORE_PART = 0.9, 0.5     # of a quota's overshoot and slack, used
@@ -66,7 +67,7 @@
         self.reader = SystemReader(self.grown, self.random)
         self.reader.made.append(given.classes[0])
         grace = bounds.grace_period_s
-        self.life = LifeCycle(time.monotonic(), SETTLE * grace, END * grace)
+        self.life = LifeCycle(time.monotonic(), SETTLE * grace, END * grace, min(TAKES_ANY * grace, TAKES_ANY_MOST))
         self.server = Server(loop, self.host, room, self.life, self.reader)
         about = {"address": ":".join(map(str, listen.public_http)), "zone": settings.availability_zone,
                  "region": settings.region, "life": self.random.getrandbits(40)}
--- a/tests/system/test_front.py
+++ b/tests/system/test_front.py
@@ -4,6 +4,10 @@
 import json
 import time
 import zlib
+from collections.abc import Callable
+from copy import deepcopy
+
+import pytest
 
 from fennelpoint.standins.process import free_port
 from fennelpoint.system import settings
@@ -34,14 +38,20 @@
                      f"Content-Length: 6\r\n\r\nbooked".encode())
 
 
-async def started(grace: float = 1.0, bounds: str = "") -> tuple[Program, Booking, int, int]:
-    """A front that serves, its backend, and its ports for clients and for readiness."""
-    public, readiness, inner = free_port(), free_port(), free_port()
-    program = Program(asyncio.get_running_loop(), settings.build(settings.parse(
+def settings_of(public: int, readiness: int, grace: float = 1.0, bounds: str = "",
+                seed: str = "127.0.0.9:8200") -> settings.Settings:
+    inner = free_port()
+    return settings.build(settings.parse(
         f"node_name=f\nnode_role=r\nip_address=127.0.0.1\navailability_zone=za\nregion=ra\nzones.za=ra\n"
-        f"internal_ports={inner},{inner + 5}\nseed_nodes=127.0.0.9:8200\n"
+        f"internal_ports={inner},{inner + 5}\nseed_nodes={seed}\n"
         f"listen_addresses.public_http=127.0.0.1:{public}\n"
-        f"listen_addresses.readiness=127.0.0.1:{readiness}\nrule_bounds.grace_period_s={grace}\n{bounds}")))
+        f"listen_addresses.readiness=127.0.0.1:{readiness}\nrule_bounds.grace_period_s={grace}\n{bounds}"))
+
+
+async def started(grace: float = 1.0, bounds: str = "") -> tuple[Program, Booking, int, int]:
+    """A front that serves, its backend, and its ports for clients and for readiness."""
+    public, readiness = free_port(), free_port()
+    program = Program(asyncio.get_running_loop(), settings_of(public, readiness, grace, bounds))
     await program.start()
     booking = Booking()
     server = await asyncio.start_server(booking.serve, "127.0.0.1", 0)
@@ -54,9 +64,9 @@
     return program, booking, public, readiness
 
 
-async def post(port: int, id: str) -> bytes:
+async def post(port: int, id: str, left_ms: int = 4000) -> bytes:
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(f"POST /r/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {id}\r\nX-Deadline-Remaining: 4000\r\n"
+    writer.write(f"POST /r/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {id}\r\nX-Deadline-Remaining: {left_ms}\r\n"
                  f"Content-Length: 1\r\n\r\nx".encode())
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.lower().split(b"\r\n")
@@ -98,6 +108,20 @@
     asyncio.run(asyncio.wait_for(play(), 10.0))
 
 
+def test_a_front_near_its_end_takes_only_what_surely_ends_in_time() -> None:
+    async def play() -> None:
+        program, booking, public, _ = await started(grace=6.0)
+        program.stop()
+        program.life.since -= 3.5   # as 3.5 s later: 2.08 s are left
+        late = await post(public, "b1")     # it may take 4 s
+        assert late.startswith(b"HTTP/1.1 503") and b"retry-after" in late and b"connection: close" in late
+        booking.may.set()
+        assert (await post(public, "b2", 2000)).startswith(b"HTTP/1.1 200") and booking.seen == ["b2"]
+        program.close()
+
+    asyncio.run(asyncio.wait_for(play(), 10.0))
+
+
 def test_a_front_whose_lease_ends_refuses_at_once_and_sends_nothing_on() -> None:
     async def play() -> None:
         program, booking, public, readiness = await started()
@@ -127,3 +151,70 @@
         program.close()
 
     asyncio.run(asyncio.wait_for(play(), 10.0))
+
+
+def with_other_time(value: dict) -> None:
+    value["listener_table"][0]["rule_set"][0]["route_action"]["request_timeout_s"] = 0.2
+
+
+def with_other_service(value: dict) -> None:
+    value["clusters"] = [{"name": "other"}]
+    value["listener_table"][0]["rule_set"][0]["route_action"]["service"] = "other"
+
+
+def without_its_route(value: dict) -> None:
+    value["listener_table"][0]["rule_set"][0]["match_criteria"]["path_prefix"] = "/else/"
+
+
+def without_its_host(value: dict) -> None:
+    value["listener_table"][0]["host"] = "elsewhere"
+
+
+def with_keys(value: dict) -> None:
+    value["tenants"] = [{"name": "t", "api_keys": ["k"], "rate_per_s": 1, "burst_size": 1}]
+
+
+CHANGES = [with_other_time, with_other_service, without_its_route, without_its_host, with_keys]
+
+
+@pytest.mark.parametrize("change", CHANGES, ids=lambda change: change.__name__)
+def test_bookings_under_way_are_answered_whatever_a_configuration_changes(change: Callable[[dict], None]) -> None:
+    """Also where the change would not let them in any more, and those that come later are judged by it."""
+    async def play() -> None:
+        program, booking, public, _ = await started()
+        under_way = asyncio.ensure_future(post(public, "b1"))
+        await booking.came.wait()
+        value = deepcopy(CONFIGURATION) | {"version": 7, "base_version": 3}
+        change(value)
+        program.take(CORE, ["lease", program.session._number(time.monotonic()), 2, 7, "e", [], 1])
+        program.take(CORE, ["content", "e", zlib.compress(json.dumps(value).encode())])
+        assert program.session.goes_by == 7
+        if change in (without_its_route, without_its_host, with_keys):
+            later = await post(public, "b2")
+            assert later.startswith(b"HTTP/1.1 401" if change is with_keys else b"HTTP/1.1 404")
+        await asyncio.sleep(0.3)
+        booking.may.set()
+        answer = await under_way
+        assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"booked") and booking.seen == ["b1"]
+        program.close()
+
+    asyncio.run(asyncio.wait_for(play(), 10.0))
+
+
+def test_bookings_under_way_and_after_it_are_answered_over_a_change_of_the_settings_file() -> None:
+    async def play() -> None:
+        program, booking, public, readiness = await started()
+        under_way = asyncio.ensure_future(post(public, "b1"))
+        await booking.came.wait()
+        program.reload(settings_of(public, readiness, seed="127.0.0.8:8200"))
+        assert program.session.seeds == ["127.0.0.8"]
+        later = asyncio.ensure_future(post(public, "b2"))
+        while len(booking.seen) < 2:
+            booking.came.clear()
+            await booking.came.wait()
+        booking.may.set()
+        assert (await under_way).endswith(b"booked") and (await later).endswith(b"booked")
+        assert await ready(readiness)
+        program.close()
+
+    asyncio.run(asyncio.wait_for(play(), 10.0))
