Registries agree on a proxy's state by digests; hosts of homes in any spelling

And homes were looked up by the host as the client spells it, while routes are found in any case and with a port or without.

Change: roll/membership.py (split off view.py) tells a digest with each brief word; who has another one asks for the whole. roll/directory.py goes by the host in lower case and without its port, and takes all entries of a host.

--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import socket
 import zlib
 from collections.abc import Callable
 
@@ -18,9 +17,10 @@
 from fennelpoint.system.roll.contact import Contact
 from fennelpoint.system.roll.directory import FRESH, Directory, homes_by_host
 from fennelpoint.system.roll.duty import SPAN, Duty
+from fennelpoint.system.roll.membership import Members
 from fennelpoint.system.roll.office import Office
 from fennelpoint.system.roll.roster import Roster
-from fennelpoint.system.roll.view import DRAINING, GONE, LOST_AFTER, READY, SPOKE, Backends, Members, Told
+from fennelpoint.system.roll.view import DRAINING, GONE, LOST_AFTER, READY, SPOKE, Backends, Told
 from fennelpoint.system.roll.waits import Answer, Held, Save, fault
 from fennelpoint.system.settings import Bounds
 from fennelpoint.system.web import Asking, Reply
@@ -41,18 +41,6 @@
 DOUBT, DOUBT_AGAIN = 2.4, 0.7   # beats after which the others are asked who heard it; s until they are asked again
 
 
-def number_of(ip: str) -> int | str:
-    """An IP address in four bytes: gossip names every front twice a second."""
-    try:
-        return int.from_bytes(socket.inet_aton(ip), "big")
-    except OSError:
-        return ip   # no address: a name, as in simulated time
-
-
-def ip_by(number: int | str) -> str:
-    return number if isinstance(number, str) else socket.inet_ntoa(number.to_bytes(4, "big"))
-
-
 class Desk:
     """One core machine's part of the registry."""
 
@@ -91,7 +79,6 @@
         self.gossip_at = self.sweep_at = now
         self.news: set[str] = set()             # ids heard here since the last word to others
         self.doubted: set[str] = set()          # ids that a front counts as lost: it is told when one speaks
-        self.told_members: dict[str, tuple] = {}
         self.links: set[str] = set()            # core machines whose registry is connected
         self.contact = Contact(me, now)
         self.whole_since: float | None = None   # since when we are in touch with a majority
@@ -155,7 +142,7 @@
         if peer.startswith("roll@"):
             self.links.add(ip_of(peer)) if up else self.links.discard(ip_of(peer))
         if peer.startswith("roll@") and up:
-            self.told_members.clear()
+            self.members.tell_all_again()
             self.send(peer, ["probe", int(now * 1000)])
             items = [b.now(now).pack() for b in self.backends.known.values()]
             if items:
@@ -236,8 +223,7 @@
     def _forget(self, now: float) -> None:
         """Guards the memory: fronts that are no more, and words that wait for a content that nobody has any more."""
         for ip in [m.ip for m in self.members.known.values() if now - m.heard > FORGET]:
-            del self.members.known[ip]
-            self.told_members.pop(ip, None)
+            self.members.forget(ip)
         for digest, waits in list(self.wants.items()):
             self.wants[digest] = [one for one in waits if now - one[0] < WAITS]
             if not self.wants[digest]:
@@ -374,18 +360,9 @@
 
     def _gossip(self, now: float) -> None:
         """Who was heard here: backends by id, fronts whole where something of them changed."""
-        whole, brief = [], []
-        for m in self.members.known.values():
-            if not m.direct or now - m.heard > FRESH:
-                continue
-            state = (m.address, m.life, m.ready, m.version)
-            if self.told_members.get(m.ip) != state:
-                self.told_members[m.ip] = state
-                whole.append(m.pack(now))
-            else:
-                brief += [number_of(m.ip), int((now - m.heard) * 1000)]
+        whole, brief = self.members.gossip(now, FRESH)
         news, self.news = sorted(self.news), set()
-        fronts = sorted(m.ip for m in self.members.known.values() if m.ready and now - m.heard < FRESH)
+        fronts = sorted(m.ip for m in self.members.ready(now, FRESH))
         if fronts != self.told_fronts:
             self.told_fronts = fronts
             for front in self.fronts:
@@ -403,12 +380,12 @@
         if revived:
             self.out.append(Note("FOUND", {"ids": ", ".join(revived)}))
             self._push(revived, now)
-        for *member, age in whole:
-            self.members.fold(*member, age + late, now)
-        for number, age in zip(brief[::2], brief[1::2], strict=True):
-            at = now - age / 1000 - late
-            if (m := self.members.known.get(ip_by(number))) is not None and at > m.heard:
-                m.heard, m.direct = at, False
+        if unknown := self.members.take(whole, brief, late, now):
+            self.send(peer, ["fronts_of", unknown])
+
+    def _on_fronts_of(self, peer: str, now: float, numbers: list) -> None:
+        """What we told of these fronts was lost or dropped on its way."""
+        self.members.tell_again(numbers)
 
     def _doubt(self, now: float) -> None:
         """Ask the others before one counts as lost: a machine that hears it may be cut off from us alone."""
--- a/fennelpoint/system/roll/directory.py
+++ b/fennelpoint/system/roll/directory.py
@@ -15,7 +15,7 @@
 
 from fennelpoint.invariants import Invariant
 from fennelpoint.system.actions import Note, Violation
-from fennelpoint.system.roll.view import Member, Members
+from fennelpoint.system.roll.membership import Member, Members
 
 FRESH = 1.8  # s without an ask after which a proxy is left out
 WHOLE_AFTER = 1.8  # s in touch with a majority after which the view holds every proxy that lives: asks and gossip
@@ -34,7 +34,7 @@
     for entry in configuration["listener_table"]:
         for rule in entry["rule_set"]:
             if regions := rule["route_action"].get("home_regions"):
-                given.setdefault(entry["host"], []).append(frozenset(regions))
+                given.setdefault(entry["host"].lower(), []).append(frozenset(regions))
     return {host: frozenset.intersection(*sets) or frozenset.union(*sets) for host, sets in given.items()}
 
 
@@ -70,7 +70,7 @@
 
     def __init__(self, node: str, members: Members, ttl: float, born: float) -> None:
         self.node, self.members, self.ttl, self.born = node, members, ttl, born
-        self.homes: dict[str, frozenset[str]] = {}  # by host; none: no homes
+        self.homes: dict[str, frozenset[str]] = {}  # by host in lower case; none: no homes
         self.turn = 0  # so that a second address is not always the same
         self.beyond: dict[str, AnswersBeyond] = {}  # by the client's region
 
@@ -79,7 +79,7 @@
 
         `whole_since`: since when the registry has been in touch with a majority, in s; None: it is not.
         """
-        homes = self.homes.get(host, frozenset())
+        homes = self._homes_of(host)
         ready = [member for member in self.members.known.values() if self._is_ready(member, now)]
         inside = [member for member in ready if member.region == region]
         named, ttl = inside, self.ttl
@@ -90,6 +90,11 @@
         named = sorted(named, key=lambda m: (m.zone != zone, m.region != region, m.address))[:MOST_NAMED]
         return Resolved([member.address for member in named], ttl, self._check(named, homes, region, now))
 
+    def _homes_of(self, host: str) -> frozenset[str]:
+        """None for a host without homes; found as routes are, in any case and with a port or without."""
+        host = host.lower()
+        return self.homes.get(host) or self.homes.get(host.rpartition(":")[0], frozenset())
+
     def _with_others(
         self, inside: list[Member], ready: list[Member], homes: frozenset[str], region: str
     ) -> list[Member]:
--- a/fennelpoint/system/roll/office.py
+++ b/fennelpoint/system/roll/office.py
@@ -14,7 +14,8 @@
 from fennelpoint.system import versions
 from fennelpoint.system.roll.allocator import Allocator
 from fennelpoint.system.roll.duty import SPAN, Duty
-from fennelpoint.system.roll.view import DRAINING, Backends, Members
+from fennelpoint.system.roll.membership import Members
+from fennelpoint.system.roll.view import DRAINING, Backends
 from fennelpoint.system.roll.waits import Held, fault
 from fennelpoint.system.web import Asking, Reply
 from fennelpoint.system.writ.orders import floor_of, upgrade
--- a/fennelpoint/system/roll/view.py
+++ b/fennelpoint/system/roll/view.py
@@ -1,4 +1,4 @@
-"""Who there is: backends by what they say, fronts by their asks; mergeable, whatever the order of the news.
+"""Which backends there are, by what they say; mergeable, whatever the order of the news.
 
 Events go into a journal in memory; `Backends` is folded from it.  Times are seconds on this machine's steady clock;
 what is told to others carries ages and what is left, never moments.
@@ -127,36 +127,3 @@
                 b.lost = True
                 lost.append(b)
         return lost, forgotten
-
-
-@dataclass(slots=True)
-class Member:
-    """A front: where clients reach it, where it stands, and when it last asked."""
-
-    ip: str
-    address: str
-    zone: str
-    region: str
-    life: int
-    ready: bool
-    version: int            # of the configuration in force there
-    heard: float
-    direct: bool = False    # it asks here
-
-    def pack(self, now: float) -> list:
-        return [self.ip, self.address, self.zone, self.region, self.life, self.ready, self.version,
-                round(now - self.heard, 2)]
-
-
-@dataclass(slots=True)
-class Members:
-    """The fronts, by IP address."""
-
-    known: dict[str, Member] = field(default_factory=dict)
-
-    def fold(self, ip: str, address: str, zone: str, region: str, life: int, ready: bool, version: int, age: float,
-             now: float, direct: bool = False) -> None:
-        old = self.known.get(ip)
-        if old is not None and now - age < old.heard:
-            return      # what was said earlier; lives are drawn, and tell no order
-        self.known[ip] = Member(ip, address, zone, region, life, ready, version, now - age, direct)
