A floor for the lowest tenants in an overload; advice until a takeover is over

And while nobody allocated parts, tenants within their quotas were told 429, or to come again at once.

Without any part no tenant is over its quota; clients are told to come again once another allocator may be there, and what waits for units asks whoever allocates next.

--- a/fennelpoint/system/span/brief_waiting.py
+++ b/fennelpoint/system/span/brief_waiting.py
@@ -5,31 +5,55 @@
 from fennelpoint import interface as api
 from fennelpoint.state import Try
 from fennelpoint.system.span.events import UnitsNeeded
-from fennelpoint.upkeep import PUMP_TOKEN
+from fennelpoint.system.span.fair_order import FairOrder
+from fennelpoint.upkeep import PUMP_TOKEN, Ground
 from fennelpoint.waiting import Waiting
 
 HELD_PART = 0.22  # of an aim that a request waits without having been offered to a backend
 ADVICE, MOST_ADVICE = 0.15, 0.5  # s after which a refused client is told to come again: least and most
 OVER_ADVICE = 3.0  # s, for a quota that is used up
+FIRST = 1e9  # times its worth, of a try that goes before all others
 
 
 class BriefWaiting(Waiting):
     """Tries that no backend was offered are ended early: their clients may come again elsewhere in time."""
 
+    def __init__(self, ground: Ground, *concerns: object) -> None:
+        super().__init__(ground, *concerns)
+        self.order = FairOrder(ground.born)
+
+    def level(self, t: Try) -> float:
+        """The worth that it waits by among the others, unless it goes first."""
+        return self.settings.classes[t.ask.cls].worth * self.settings.plans[t.customer.plan].price
+
     def hold(self, t: Try, now: float) -> None:
+        # Guards the lowest ranks: they would never be next while an overload lasts.
+        if t.ask.request not in self.line.held and self.order.starved(level := self.level(t), now):
+            t.worth = FIRST * level
         super().hold(t, now)
-        if self.quotas.need(t, now):
-            self.out.append(UnitsNeeded(t.customer.key, t.ask.units))
+        self._need(t, now)
         if not t.reached and t.ask.request in self.line.held:
             t.last = min(t.last, t.came_at + HELD_PART * self.settings.classes[t.ask.cls].aim)
             self.out += self.timers.wake(PUMP_TOKEN, max(now, t.last), now)
 
+    def ask_again(self, now: float) -> None:
+        """Another one allocates by now: units for what still waits."""
+        for t in self.quotas.unanswered(now):
+            self._need(t, now)
+
+    def _need(self, t: Try, now: float) -> None:
+        if self.quotas.need(t, now):
+            self.out.append(UnitsNeeded(t.customer.key, t.ask.units))
+
     def refuse(self, t: Try, now: float, wait: float) -> None:
         self.quotas.fill(t.customer, now)
         over = self.quotas.over(t)
+        if not (over or t.charged):
+            self.order.add(self.level(t), False, now)
         long = over and not (self.quotas.thin(t.customer) and t.customer.key in self.quotas.soon)
         # One whose tenant asks for more than its quota has no room for as long as that lasts; for want of a lease, a
-        # part or a backend a client does well to come again soon.
-        super().refuse(t, now, max(wait, OVER_ADVICE) if long else min(MOST_ADVICE, max(wait, ADVICE)))
+        # part or a backend a client does well to come again soon; while nobody allocates, once somebody does.
+        advice = max(wait, OVER_ADVICE) if long else min(MOST_ADVICE, max(wait, ADVICE))
+        super().refuse(t, now, max(advice, self.quotas.until_takeover(t.customer, now)))
         if isinstance(last := self.out[-1], api.Refuse):
             last.over = over
--- a/fennelpoint/system/span/decider.py
+++ b/fennelpoint/system/span/decider.py
@@ -66,6 +66,7 @@
         self.leased_until = event.until
         self.quotas.lease(event.shares, event.pooled, now)
         self._share_slack(event.slack, now)
+        self.waiting.ask_again(now)
 
     def _extended(self, event: LeaseExtended, now: float) -> None:
         if self.leased_until < inf:  # else nothing is leased
@@ -113,6 +114,7 @@
             budget = self._budget(t, now)
             if t.attempts == 1:
                 budget.earn(t.came_at, now)
+                self.waiting.order.add(self.waiting.level(t), True, now)
             elif t.reached:
                 budget.spend(now)
         return placed
--- a/fennelpoint/system/span/leased_quotas.py
+++ b/fennelpoint/system/span/leased_quotas.py
@@ -14,6 +14,7 @@
 from fennelpoint.upkeep import Ground
 
 FRESH = 1.0         # s of an own share that a process has saved up when it begins
+SILENT, TAKEOVER = 0.2, 1.9     # s without an answer after which nobody may allocate; s until another one does so
 DENIED, FORGET_NEED = 2.0, 5.0  # s that one counts as over its quota after a denial; that an ask is remembered
 
 
@@ -24,8 +25,11 @@
         super().__init__(ground)
         self.shares: dict[int, float] = {}
         self.leased = self.pools = False
+        self.lent = False       # something is lent now
+        self.unlent_since = ground.born
         self.granted: dict[int, deque] = {}       # units of the pool, by customer: until when, and how many
         self.needed: dict[int, float] = {}      # tries that units were asked for, and when
+        self.unanswered_since = inf     # when units were first asked for since the last answer
         self.denied_at: dict[int, float] = {}   # when the pool last had none, by customer
         self.soon: Set[int] = frozenset()       # who was denied for a moment only
         self.raised_at: dict[int, float] = {}   # when the share of one that has asked for nothing yet last grew
@@ -71,7 +75,9 @@
         return 0.0 if now - self.denied_at.get(c.key, -inf) < DENIED else self.settings.plans[c.plan].rate
 
     def over(self, t: Try) -> bool:
-        """Whether it was refused because its tenant asks for more than its quota."""
+        """Whether it was refused because its tenant asks for more than its quota, as far as that is known."""
+        if not self.lent:
+            return False
         if self.thin(t.customer):
             return t.inside is False
         return not t.charged and self.settings.plans[t.customer.plan].rate > 0.0 and t.customer.level < t.ask.units
@@ -81,12 +87,29 @@
         if t.charged or t.ask.request in self.needed or not self.thin(t.customer):
             return False
         self.needed[t.ask.request] = now
+        long_ago = now - self.unanswered_since > FORGET_NEED    # a draw that was lost
+        self.unanswered_since = now if long_ago else min(self.unanswered_since, now)
         while self.needed and now - next(iter(self.needed.values())) > FORGET_NEED:
             del self.needed[next(iter(self.needed))]    # guards the memory: its client has gone
         return True
 
+    def until_takeover(self, c: Customer, now: float) -> float:
+        """Seconds until there may be units for it, where nobody lends or answers for them; 0: that is not known."""
+        if self.settings.plans[c.plan].rate <= 0.0 or self.lent and not self.thin(c):
+            return 0.0
+        silence = now - (self.unanswered_since if self.lent else self.unlent_since)
+        return max(0.0, TAKEOVER - silence) if silence > SILENT or not self.lent else 0.0
+
+    def unanswered(self, now: float) -> list[Try]:
+        """Tries that still wait for units which nobody answered for: a new allocator has not heard of them."""
+        waiting = [t for t in self.line.held.values() if now - self.needed.get(t.ask.request, now) > SILENT]
+        for t in waiting:
+            del self.needed[t.ask.request]
+        return waiting
+
     def grant(self, event: UnitsGranted, now: float) -> list[Try]:
         """Units have come; the tries for which there are none, the cheapest and latest ones."""
+        self.unanswered_since = inf
         for key, units in event.units.items():
             self.granted.setdefault(key, deque()).append((event.until, units))
         out, self.soon = [], event.soon
@@ -103,6 +126,9 @@
 
     def lease(self, shares: dict[int, float], pools: bool, now: float) -> None:
         """What is taken back is gone at once; what is given fills with time."""
+        if self.lent and not shares and not pools:
+            self.unlent_since = now
+        self.lent = bool(shares) or pools
         fresh = bool(shares) and not self.leased
         raised = {key for key, share in shares.items() if share > self.shares.get(key, 0.0)}
         since = max(self.ground.born, now - FRESH) if fresh else now
--- a/tests/system/test_admission.py
+++ b/tests/system/test_admission.py
@@ -60,6 +60,53 @@
         return self.one.regulation
 
 
+class Overload(Day):
+    """One front whose backend works on so many requests at once; further ones wait there."""
+
+    def __init__(self, slots: int, work: float) -> None:
+        super().__init__()
+        self.work, self.free = work, [self.now] * slots     # when each of its slots is free
+        self.give(BackendPlaces({}, {"b1": slots}, {}))
+        self.whose: dict[int, int] = {}
+        self.asked, self.served = dict.fromkeys(range(3), 0), dict.fromkeys(range(3), 0)
+
+    def play_at(self, rate: float, seconds: float) -> None:
+        """Each tenant asks at that rate."""
+        ends, due = self.now + seconds, dict.fromkeys(self.asked, self.now)
+        while self.now < ends:
+            self.now += 0.01
+            for timer in [t for t in self.timers if t[0] <= self.now]:
+                self.timers.remove(timer)
+                self._send(api.TimerDue(timer[1]))
+            for answer in [a for a in self.answers if a[0] <= self.now]:
+                self.answers.remove(answer)
+                self.served[self.whose[answer[1]]] += 1
+                self._send(api.Outcome(answer[1], 0, "b1", S.OK, answer[2], True))
+            for tenant in [t for t in due if due[t] <= self.now]:
+                due[tenant] += 1.0 / rate
+                self.number += 1
+                self.whose[self.number] = tenant
+                self.asked[tenant] += 1
+                self._send(api.Request(self.number, 0, 1 + tenant, tenant, 2.0, 1.0, 1.0, 0.0, cell="svc"))
+
+    def _send(self, event) -> None:
+        for sent in (a for a in self.give(event) if isinstance(a, api.Send)):
+            slot = min(range(len(self.free)), key=self.free.__getitem__)
+            self.free[slot] = max(self.now, self.free[slot]) + self.work
+            self.answers.append((self.free[slot], sent.request, self.free[slot] - self.now))
+
+
+@pytest.mark.parametrize("slots, work", [(1, 0.1), (2, 0.13), (2, 0.1)], ids=["10-of-27", "15-of-27", "20-of-27"])
+def test_no_tenant_is_served_under_a_quarter_as_often_as_all_however_long_an_overload_lasts(
+        slots: int, work: float) -> None:
+    """All keep to their quotas and ask 27 times a second; the backend answers 10, 15 or 20 of these in time."""
+    day = Overload(slots, work)
+    day.play_at(9.0, 60.0)
+    whole = sum(day.served.values()) / sum(day.asked.values())
+    for tenant, asked in day.asked.items():
+        assert day.served[tenant] / asked >= 0.25 * whole, (day.served, day.asked)
+
+
 def test_in_quiet_all_are_in_the_region_meet_and_nothing_is_cut() -> None:
     day = Day()
     day.play(4.0, {0: 5.0, 1: 5.0, 2: 5.0}, {0: 0.1, 1: 0.1, 2: 0.1})
