--- a/tests/system/test_size.py
+++ b/tests/system/test_size.py
@@ -1,8 +1,11 @@
 """Many core machines and fronts in simulated time: rounds keep out of each other's way, and what a front costs."""
 
+from collections import Counter
+
 import pytest
 
 from fennelpoint.standins.core_world import World, grown
+from fennelpoint.system.frames import pack
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -37,3 +40,67 @@
     assert many["peeked"] < 100 * 12 * 10       # bytes an answer, machines, reads a second: the value is 700
     assert sum(many.values()) - sum(few.values()) < 27 * 700    # a front's own part, bytes a second
     assert sum(many.values()) < 2.2 * sum(few.values())
+
+
+@pytest.mark.parametrize("machines", [12, 15, 24])
+def test_machines_that_start_at_once_stay_in_touch_while_they_become_members_one_by_one(machines: int) -> None:
+    """Who was no member yet got no word after the first and fell out of touch: the last ones for seconds."""
+    world = grown(machines, 18, 1)
+    world.run(1.5)
+    while world.now < 8.0:
+        world.run(world.now + 0.1)
+        assert [ip for ip, core in world.cores.items() if not core.desk.in_touch(world.now)] == []
+    value = world.cores["c00"].store.world
+    assert len(value["ready"]) + len(value["voters"]) == machines
+
+
+# Messages and bytes a second that each further front costs, by who speaks to whom: as measured.  The slope may not
+# double.
+MESSAGES = {"span>roll": 2.0, "roll>span": 3.9, "roll>roll": 3.5, "roll>writ": 0.26, "writ>roll": 0.26,
+            "writ>writ": 1.1}
+BYTES = {"span>roll": 64, "roll>span": 165, "roll>roll": 208, "roll>writ": 5, "writ>roll": 266, "writ>writ": 37}
+
+
+class Metered:
+    """What is delivered in a world, by who speaks to whom, and by kind."""
+
+    def __init__(self, world: World) -> None:
+        self.messages: Counter[str] = Counter()
+        self.bytes: Counter[str] = Counter()
+        self.kinds: Counter[str] = Counter()
+        self.deliver, world._deliver = world._deliver, self.count
+
+    def count(self, source: str, to: str, message: list) -> None:
+        pair = f"{source.partition('@')[0]}>{to.partition('@')[0]}"
+        self.messages[pair] += 1
+        self.bytes[pair] += len(pack(message))
+        self.kinds[f"{pair} {message[0]}"] += 1
+        self.deliver(source, to, message)
+
+
+def metered(fronts: int) -> tuple[World, Metered]:
+    """A quiet world, metered for four seconds."""
+    world = grown(5, fronts, 1)
+    world.run(2.0)
+    world.put(3, 0, "c01")
+    world.run(8.0)
+    meter = Metered(world)
+    world.run(12.0)
+    return world, meter
+
+
+def test_what_a_front_costs_has_not_doubled() -> None:
+    (_, few), (_, many) = metered(10), metered(40)
+    for pair in MESSAGES:
+        assert (many.messages[pair] - few.messages[pair]) / 30 / 4.0 < 2.0 * MESSAGES[pair] + 0.1, pair
+        assert (many.bytes[pair] - few.bytes[pair]) / 30 / 4.0 < 2.0 * BYTES[pair], pair
+    assert set(many.messages) == set(MESSAGES)
+
+
+def test_a_change_reaches_all_fronts_and_costs_each_its_content_once() -> None:
+    world, meter = metered(40)
+    before = meter.kinds["roll>span content"]
+    world.put(5, 3, "c01")
+    world.run(13.0)
+    assert all(front.version == 5 for front in world.fronts.values())
+    assert meter.kinds["roll>span content"] - before == 40
