--- a/fennelpoint/invariants.py
+++ b/fennelpoint/invariants.py
@@ -22,6 +22,9 @@
         "for a host with homes the directory names a proxy beyond them and the client's region only while "
         "none inside is known to live"
     )
+    COLD_RATES_REST = (
+        "an allocator that took over raises no cold rate within a second of the last word of a front on what it held"
+    )
 
 
 def _complain(invariant: Invariant, detail: str, count: int) -> None:
--- a/fennelpoint/standins/retry_world.py
+++ b/fennelpoint/standins/retry_world.py
@@ -16,7 +16,8 @@
 from fennelpoint import interface as api
 from fennelpoint.standins.retry_rule import RetryCounter
 from fennelpoint.system.mesh import name
-from fennelpoint.system.roll.allocator import HOLD, LIFE, Allocator
+from fennelpoint.system.roll.allocator import HOLD, Allocator
+from fennelpoint.system.roll.grants import LIFE
 from fennelpoint.system.span.core_session import CoreSession, Extend, Lend, Send
 from fennelpoint.system.span.decider import Decider
 from fennelpoint.system.span.events import BackendPlaces, Catalogue, LeaseExtended, RetryRule, leased_shares
--- a/fennelpoint/standins/system_demo.py
+++ b/fennelpoint/standins/system_demo.py
@@ -25,6 +25,7 @@
 from fennelpoint.system.client import Client
 
 ZONES = {"za": "ra", "zb": "rb", "zc": "rc"}
+FIRST_SERVICE = 5.0     # s from the fronts' readiness until each region is served
 BEAT, GRACE, RATE = 0.5, 2.0, 12.0      # s, s, requests a second of each client
 # A program that ends when we do; it says so itself, as code between fork and exec may abort where gRPC is loaded.
 PROGRAM = ("import ctypes, runpy; ctypes.CDLL(None).prctl(1, 9); "
@@ -122,17 +123,24 @@
 
 
 class Site:
-    """The machines: their settings files, their processes, their addresses."""
+    """The machines: their settings files, their processes, their addresses.
 
-    def __init__(self, root: Path) -> None:
-        self.root, self.running = root, {}
+    `cores` and `fronts` are names, the zone after the first hyphen; `zones` tells the region of each zone; `program`
+    is the code that each process runs, with the role and the settings behind it.
+    """
+
+    def __init__(self, root: Path, zones: dict[str, str] = ZONES,
+                 cores: tuple[str, ...] = ("core-za", "core-zb", "core-zc"),
+                 fronts: tuple[str, ...] = ("front-za-1", "front-zb-1", "front-zc-1", "front-za-2"),
+                 program: str = PROGRAM) -> None:
+        self.root, self.zones, self.program, self.running = root, zones, program, {}
         doors = ("control_plane", "directory_service", "public_http", "readiness")
         self.ports = {name: free_port() for name in doors}
         self.inner = free_port()
         while {self.inner + i for i in range(3)} & set(self.ports.values()):
             self.inner = free_port()
-        self.cores = {f"core-{zone}": f"127.61.0.{i + 1}" for i, zone in enumerate(ZONES)}
-        self.fronts = {f"front-{n}": f"127.62.0.{i + 1}" for i, n in enumerate(("za-1", "zb-1", "zc-1", "za-2"))}
+        self.cores = {name: f"127.61.0.{i + 1}" for i, name in enumerate(cores)}
+        self.fronts = {name: f"127.62.0.{i + 1}" for i, name in enumerate(fronts)}
 
     def at(self, machine: str, door: str) -> str:
         return f"{(self.cores | self.fronts)[machine]}:{self.ports[door]}"
@@ -140,10 +148,11 @@
     def settings(self, machine: str, role: str, first: bool) -> Path:
         zone = machine.split("-")[1]
         lines = {"node_name": machine, "node_role": role, "ip_address": (self.cores | self.fronts)[machine],
-                 "availability_zone": zone, "region": ZONES[zone], "internal_ports": f"{self.inner},{self.inner + 2}",
-                 "seed_nodes": ",".join(self.at(core, "control_plane") for core in self.cores),
+                 "availability_zone": zone, "region": self.zones[zone],
+                 "internal_ports": f"{self.inner},{self.inner + 2}",
+                 "seed_nodes": ",".join(self.at(core, "control_plane") for core in list(self.cores)[:3]),
                  "first_start": str(first).lower(), "heartbeat_s": BEAT, "rule_bounds.grace_period_s": GRACE,
-                 **{f"zones.{z}": r for z, r in ZONES.items()}}
+                 **{f"zones.{z}": r for z, r in self.zones.items()}}
         doors = {"span": ("public_http", "readiness"), "roll": ("control_plane", "directory_service"), "writ": ()}
         lines |= {f"listen_addresses.{door}": self.at(machine, door) for door in doors[role]}
         if machine in self.cores:
@@ -155,7 +164,7 @@
     async def start(self, machine: str, first: bool = False) -> None:
         for role in ("writ", "roll") if machine in self.cores else ("span",):
             self.running[machine, role] = await asyncio.create_subprocess_exec(
-                sys.executable, "-c", PROGRAM, role, "--settings", str(self.settings(machine, role, first)),
+                sys.executable, "-c", self.program, role, "--settings", str(self.settings(machine, role, first)),
                 stderr=(self.root / f"{machine}-{role}.log").open("a"))
 
     async def kill(self, machine: str) -> None:
@@ -206,6 +215,12 @@
         await asyncio.gather(*running, return_exceptions=True)
 
 
+async def _each_served(clients: list[Client]) -> bool:
+    """Whether a look-up of each of these is answered with success."""
+    answers = [await client.request("GET", HOST, "/look/0", deadline=1.0, repeatable=True) for client in clients]
+    return all(isinstance(answer, Ok) and answer.ok_value.status == 200 for answer in answers)
+
+
 async def until(what: Callable, seconds: float, why: str) -> float:
     begun = time.monotonic()
     while not await what():
@@ -250,6 +265,8 @@
         tell(f"{len(site.fronts)} fronts hold a lease and are ready")
         clients = [Client([site.at(core, "directory_service") for core in site.cores], zone, ZONES[zone], KEY)
                    for zone in ZONES]
+        took = await until(lambda: _each_served(clients), FIRST_SERVICE, "the first answers in each region")
+        tell(f"each region is served after {took:.1f} s more")
         tasks = [asyncio.create_task(_traffic(client, n, seen)) for n, client in enumerate(clients)]
         await share()
         backends[0].state = "draining"
--- a/fennelpoint/system/mesh.py
+++ b/fennelpoint/system/mesh.py
@@ -50,15 +50,19 @@
         self.heard = time.monotonic()
         try:
             for message in self.unpacker.feed(data):
-                if message[0] == "hello" and not self.dialled:
-                    self.peer = str(message[1])
-                    self.mesh.up(self)
-                elif message[0] != "ping" and self.peer is not None:
-                    self.mesh.take(self.peer, message)
+                self.take(message)
         except (BadFrame, IndexError) as error:
             say(Event.CRASHED, where=f"message of {self.peer}", reason=error)
             self.transport.abort()
 
+    def take(self, message: list) -> None:
+        """One message of the peer's."""
+        if message[0] == "hello" and not self.dialled:
+            self.peer = str(message[1])
+            self.mesh.up(self)
+        elif message[0] != "ping" and self.peer is not None:
+            self.mesh.take(self.peer, message)
+
     def write(self, message: list) -> None:
         if self.transport.get_write_buffer_size() > MOST_BEHIND:
             return self.transport.abort()
@@ -74,9 +78,11 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, role: str, ip: str, ports: tuple[int, int],
                  take: Callable[[str, list], None],
-                 changed: Callable[[str, bool], None] = lambda peer, up: None, most: float = AGAIN_MOST) -> None:
+                 changed: Callable[[str, bool], None] = lambda peer, up: None, most: float = AGAIN_MOST,
+                 refused: Callable[[str, float], None] = lambda peer, dialled_at: None) -> None:
         self.loop, self.me, self.ip, self.ports = loop, name(role, ip), ip, ports
         self.role, self._take, self.changed, self.most = role, take, changed, most
+        self.refused = refused  # a peer's machine says that nothing listens there; dialled at that time
         self.wires: set[Wire] = set()
         self.ways: dict[str, list[Wire]] = {}   # by peer, our own first
         self.dialling: dict[str, asyncio.Task] = {}
@@ -110,11 +116,13 @@
                 # Theirs does for both.  Nobody waits to be dialled: a newcomer is not known to the others yet.
                 await asyncio.sleep(0.2)
                 continue
-            wire = Wire(self, peer)
+            wire, dialled_at = Wire(self, peer), time.monotonic()
             try:
                 async with asyncio.timeout(CONNECT):
                     await self.loop.create_connection(lambda wire=wire: wire, ip, self.port(role))
-            except (OSError, TimeoutError):
+            except (OSError, TimeoutError) as error:
+                if isinstance(error, ConnectionRefusedError):
+                    self.refused(peer, dialled_at)
                 await asyncio.sleep(pause * random.uniform(0.7, 1.3))
                 pause = min(self.most, pause * 1.5)
                 continue
--- /dev/null
+++ b/fennelpoint/system/roll/allocation_duty.py
@@ -0,0 +1,305 @@
+"""The duty of allocating parts: one core machine at a time does it, by a lease that a majority granted and by a term.
+
+A part of `desk.Desk`.  Whoever is granted the duty asks the store for a term, a number that is agreed since no
+registry remembers one, and allocates by that until another term is known to have begun.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import Protocol
+
+from fennelpoint.system.actions import Note
+from fennelpoint.system.mesh import ip_of, name
+from fennelpoint.system.roll.allocator import HOLD, Allocator
+from fennelpoint.system.roll.duty import Duty
+from fennelpoint.system.roll.figures import ColdBackends, Figures
+from fennelpoint.system.roll.roster import Roster
+from fennelpoint.system.roll.view import Backends
+from fennelpoint.system.settings import Bounds
+
+LEAD_AGAIN = 3.8  # s for the store to number a term: it tells before, unless it has ended
+LEADER_SILENT = 0.4  # s in which whoever a term was given to says that it leads, else it does not
+OUTDATED_FIGURES = 2.0  # s that draws are granted by a configuration that is not the newest, while that comes
+
+
+# Messages between core machines and from fronts that are the duty's, each with a method `on_...`.
+MESSAGES = frozenset(("claim", "released", "granted", "leads", "want", "draw", "drawn", "units", "lend", "tell"))
+
+
+class Registry(Protocol):
+    """What the duty needs of the desk that it is a part of."""
+
+    me: str
+    store: str
+    seeds: list[str]
+    tokens: int
+    world: dict
+    links: set[str]
+    fronts: dict[str, int]
+    backends: Backends
+    bounds: Bounds
+    read_at: float
+    out: list
+
+    @property
+    def others(self) -> list[str]: ...
+    def majority(self, holders: set[str]) -> bool: ...
+    def send(self, to: str, message: list) -> None: ...
+    def read_for_itself(self, now: float) -> None: ...
+
+
+class AllocationDuty:
+    """One core machine's part in it."""
+
+    def __init__(self, registry: Registry, duty: Duty, cold: ColdBackends) -> None:
+        self.registry = registry
+        self.duty = duty
+        self.cold = cold
+        self.allocator: Allocator | None = None  # while the duty is ours and its term has begun
+        self.leading: tuple[int, float] | None = None  # the call for our term's number, and when to call again
+        self.wait_until = -1e9  # until when whoever has a term that passed ours may say that it leads
+        self.roster = Roster()  # of our term
+        self.figures = Figures()
+        self.behind_since = 0.0  # since when the figures are not the newest configuration's
+
+    # The lease and the term
+
+    def tick(self, now: float, claims: bool) -> None:
+        """What is due; `claims`: this machine may ask for the duty."""
+        if self.allocator is not None and not self.duty.holds(now):
+            self.duty.leave()
+            self._yield("no majority grants it any more")
+        self._claim(now, claims)
+        self._release(now)
+        if self.allocator is not None and now - self.registry.read_at > HOLD / 3:
+            self.registry.read_for_itself(now)
+        self._see_to_term(now)
+        self._tend_roster(now)
+
+    def _see_to_term(self, now: float) -> None:
+        """Whoever holds the duty has a term that leads or a call for one out, and nobody else has."""
+        if not self.duty.holds(now):
+            if self.leading is not None:
+                # Guards whoever holds the duty by then: a term that was numbered for us would pass its own.
+                self.registry.send(self.registry.store, ["withdraw", self.leading[0]])
+                self.leading = None
+        elif self.leading is not None:
+            if now >= self.leading[1]:
+                self.lead(now)
+        elif self.allocator is None and now >= self.wait_until:
+            self.lead(now)
+
+    def resign(self) -> None:
+        """This machine leaves: the next in line need not wait for the lease to end."""
+        if self.allocator is not None:
+            self._note("YIELDS", reason="it leaves")
+        self.allocator = None
+        self.duty.resign()
+
+    def store_restarted(self, now: float) -> None:
+        """The store has forgotten what was asked of it."""
+        self.leading = (0, now) if self.leading is not None else None
+        self.roster.forgotten()
+
+    def _yield(self, reason: str) -> None:
+        self.allocator = None
+        self._note("YIELDS", reason=reason)
+
+    def _claim(self, now: float, claims: bool) -> None:
+        registry = self.registry
+        line = sorted(registry.world["voters"]) if registry.world else []
+        if not claims or registry.me not in line:
+            return
+        whole = registry.majority({registry.me, *registry.links})
+        if (term := self.duty.due(now, line.index(registry.me), whole)) is None:
+            return
+        held = self.duty.holds(now)
+        self._tell_others(["claim", list(term), held, self.duty.claims])
+        if (firm := self.duty.claimed(term, held, self.duty.claims, now)) is not None:
+            self._voted(term, self.duty.claims, registry.me, firm, now)
+
+    def _release(self, now: float) -> None:
+        if self.duty.left is None:
+            return
+        self._tell_others(["released", list(self.duty.left), self.duty.claims])
+        self.duty.released(self.duty.left, self.duty.claims, now)
+        self.duty.left = None
+
+    def on_claim(self, peer: str, now: float, term: list, held: bool, number: int) -> None:
+        if (firm := self.duty.claimed(tuple(term), held, number, now)) is not None:
+            self.registry.send(peer, ["granted", term, number, firm])
+
+    def on_released(self, peer: str, now: float, term: list, number: int) -> None:
+        self.duty.released(tuple(term), number, now)
+
+    def on_granted(self, peer: str, now: float, term: list, number: int, firm: bool) -> None:
+        if tuple(term) != self.duty.term:  # it hears of our release before that claim, or not at all
+            return self.registry.send(peer, ["released", term, number])
+        self._voted(tuple(term), number, ip_of(peer), firm, now)
+
+    def _voted(self, term: tuple, number: int, by: str, firm: bool, now: float) -> None:
+        voters: Collection[str] = self.registry.world["voters"] if self.registry.world else self.registry.seeds
+        if self.duty.voted(term, number, by, firm, voters, now):
+            self.lead(now)
+
+    def lead(self, now: float) -> None:
+        """The duty is ours: ask the store for a term."""
+        self.leading = (self._change("lead", []), now + LEAD_AGAIN)
+
+    def term_numbered(self, status: int, world: dict | None, now: float) -> None:
+        """The store's answer to the call for a term."""
+        asked_at = self.leading[1] - LEAD_AGAIN
+        if status != 200:
+            self.leading = (0, now)
+            return
+        self.leading = None
+        if not self.duty.holds(now):
+            return
+        if world["term"] != self.registry.world["term"]:
+            self.wait_until = now + LEADER_SILENT
+            return
+        # The term was the newest at some time after it was asked for, which may be long before this answer.
+        self.allocator = Allocator([world["term"], self.registry.me], world["fronts"], now)
+        self.registry.read_at = asked_at
+        self.roster = Roster()
+        self._note("LEADS", term=world["term"])
+        self._call_fronts(now)
+
+    def on_world(self, term: int, now: float) -> None:
+        """The newest agreed value has this term.
+
+        It may be another's that has lost the duty since it asked; one that leads says so.
+        """
+        if self.allocator is not None and term > self.allocator.term[0]:
+            self._yield(f"term {term} has begun")
+            self.wait_until = now + LEADER_SILENT
+
+    def on_leads(self, peer: str, now: float, term: list) -> None:
+        """A term has begun: the fronts here ask at once."""
+        number, leader = term
+        if leader != self.registry.me and number >= self.registry.world.get("term", 0) and self.duty.holds(now):
+            self.duty.leave()  # by voters that are not ours any more
+        if self.duty.holder is None or self.duty.holder[1] != leader:
+            self.duty.holder, self.duty.holder_at = (self.duty.highest, leader), now
+        for front in self.registry.fronts:
+            self.registry.send(front, ["tell", term])
+
+    def _call_fronts(self, now: float) -> None:
+        """All fronts are to ask now: we have begun, or know by now what is lent."""
+        self._tell_others(["leads", self.allocator.term])
+        self.on_leads(self.registry.me, now, self.allocator.term)
+
+    def _tend_roster(self, now: float) -> None:
+        if self.allocator is None:
+            return
+        token = self.registry.tokens + 1
+        if (due := self.roster.due(self.allocator, self.registry.world["fronts"], token, now)) is None:
+            return
+        self._change(*due)
+        if due[0] == "dismiss":
+            self.registry.out.append(Note("DISMISSED", {"fronts": ", ".join(due[1][0])}))
+
+    # Parts for fronts
+
+    def reckons(self, now: float) -> bool:
+        """Whether parts may be lent from here now.
+
+        Guards parts against a reckoner that another has followed: voters change, so that two may hold the duty.
+        """
+        return self.allocator is not None and self.duty.holds(now) and now - self.registry.read_at <= HOLD
+
+    def ask(self, now: float, ask: list) -> None:
+        """A front here asks for parts: to whoever allocates."""
+        if self.allocator is not None:
+            self.on_want(name("roll", self.registry.me), now, *ask)
+        elif self.duty.holder is not None:
+            self.registry.send(name("roll", self.duty.holder[1]), ["want", *ask])
+
+    def on_want(
+        self,
+        peer: str,
+        now: float,
+        ip: str,
+        life: int,
+        region: str,
+        number: int,
+        seen: list,
+        asked: dict,
+        holds: list | None,
+    ) -> None:
+        """A front's ask for parts, by way of the registry that it asks."""
+        if not self.reckons(now) or not self.roster.admits(ip, self.registry.world["fronts"]):
+            return
+        self.allocator.enrol([ip], now)
+        before = self.allocator.settled(now)
+        cold = self.cold.bears(self.registry.backends.known, self.figures, now)
+        grant = self.allocator.want(ip, life, region, seen, asked, holds, self.figures.rates, cold, now)
+        self._report_violations()
+        term = self.allocator.term
+        if grant is None:
+            self._answer(peer, ["tell", ip, term])
+        else:
+            content = None if [term, grant.number] == seen else grant.pack()
+            self._answer(peer, ["lend", ip, number, term, grant.number, content])
+        if not before and self.allocator.settled(now):
+            self._call_fronts(now)
+
+    def _report_violations(self) -> None:
+        if found := self.allocator.violations:
+            self.registry.out += found
+            found.clear()
+
+    def on_draw(self, peer: str, now: float, number: int, needs: dict) -> None:
+        """A front asks for units of tenants that have no part there."""
+        if self.allocator is not None:
+            self.on_drawn(name("roll", self.registry.me), now, ip_of(peer), number, needs)
+        elif self.duty.holder is not None:
+            self.registry.send(name("roll", self.duty.holder[1]), ["drawn", ip_of(peer), number, needs])
+
+    def on_drawn(self, peer: str, now: float, ip: str, number: int, needs: dict) -> None:
+        """The same, by way of the registry that it asks."""
+        if not self.reckons(now):
+            return
+        # Guards a lower limit: units by the one before it are none of ours to give for long.
+        outdated = self.figures.digest != self.registry.world["digest"]
+        if outdated and now - self.behind_since > OUTDATED_FIGURES:
+            return
+        slack = self.registry.bounds.quota_slack
+        drawn = self.allocator.draw(ip, needs, self.figures.rates, self.figures.bursts, slack, now)
+        if drawn is not None:
+            self._answer(peer, ["units", ip, number, self.allocator.term, *drawn])
+
+    def on_units(self, peer: str, now: float, *rest: object) -> None:
+        self._hand_on(["units", *rest])
+
+    def on_lend(self, peer: str, now: float, *rest: object) -> None:
+        self._hand_on(["lend", *rest])
+
+    def on_tell(self, peer: str, now: float, *rest: object) -> None:
+        self._hand_on(["tell", *rest])
+
+    def _answer(self, peer: str, answer: list) -> None:
+        if ip_of(peer) == self.registry.me:
+            self._hand_on(answer)
+        else:
+            self.registry.send(peer, answer)
+
+    def _hand_on(self, answer: list) -> None:
+        kind, ip, *rest = answer
+        self.registry.send(name("span", ip), [kind, *rest])
+
+    # Ways out
+
+    def _tell_others(self, message: list) -> None:
+        for peer in self.registry.others:
+            self.registry.send(peer, message)
+
+    def _change(self, kind: str, what: list) -> int:
+        """Proposes a change to the store beside; the token that its answer bears."""
+        self.registry.tokens += 1
+        self.registry.send(self.registry.store, ["change", self.registry.tokens, kind, what, b""])
+        return self.registry.tokens
+
+    def _note(self, event: str, **what: object) -> None:
+        self.registry.out.append(Note(event, {"node": self.registry.me, **what}))
--- a/fennelpoint/system/roll/allocator.py
+++ b/fennelpoint/system/roll/allocator.py
@@ -12,39 +12,27 @@
 from dataclasses import dataclass, field
 from math import log
 
-LIFE = 4.2          # s of a lease and of a grant at the front, from the sending of its ask
+from fennelpoint.invariants import Invariant
+from fennelpoint.system.actions import Violation
+from fennelpoint.system.roll.census import Census
+from fennelpoint.system.roll.grants import COLD_AFTER, LIFE, WHOLE, Grant
+from fennelpoint.system.roll.lent import SLACK_THING, Lent, Thing, most_in_use
+
 SLACK = 0.4         # s more that it counts here
-COLD_AFTER = 1.2    # s more that rates of cold backends count once they are gone: what was sent by them is in the
-                    # window of a second that the rules count
 HOLD = 1.0          # s since a read of its own term that a reckoner may lend: one before us may, so long after us
 ALIVE = 1.8         # s without an ask after which a front gets no more of what is free
 HALF = 6.0          # s in which what was asked counts half
-WHOLE = 1000        # parts of a quota or of the budget's slack
 GIVEN = 985         # of these at most lent at a time: rounding and clocks stay inside the whole
 LEAST_MOVE = 15     # of these: a smaller change is not worth a message
-DRAW_LIFE = 0.5     # s that units of the pool are good at the front, from the sending of its ask
 THIN, THICK = 2.0, 3.0  # a second of a quota for each front: below, they draw from its pool; above, they hold parts
 POOL_BURST = 0.5    # of the slack that the rules leave beside a burst, kept in the pool
 POOL_START = 0.25   # of that slack, in a pool that begins: two changes of reckoner in a window keep to the bound
 DEMAND, OVER = 4.0, 1.25    # s in which what was drawn for counts half; of a quota, asked for: it is over, not short
+RULE_WINDOW = 1.0   # s in which the rules count what is sent to a cold backend
 FORGET = 30.0       # s without an ask after which a front is taken out: what it was lent has ended long before
 NOISE = 0.25        # of a part: asks of seconds say no more than this, and what is taken back is lost
 
 
-@dataclass(slots=True)
-class Grant:
-    """What one front may use: thousandths of quotas by tenant, tries a second by cold backend, of the slack."""
-
-    number: int = 0
-    quotas: dict[str, int] = field(default_factory=dict)
-    cold: dict[str, int] = field(default_factory=dict)
-    slack: int = 0
-    ends: float = 0.0
-
-    def pack(self) -> list:
-        return [self.quotas, self.cold, self.slack]
-
-
 @dataclass(slots=True)
 class Front:
     """What is known of one front that may hold parts."""
@@ -56,24 +44,21 @@
     told: set[int] = field(default_factory=set)     # its lives that told this term what they hold
     heard: float = -1e9
     known: bool = False     # one of them did, or it held nothing before this term
+    told_at: float = -1e9   # when one of them did first, if it may have held something before this term
     keeps: bool = False     # nobody before us can have lent what it told to another: it may keep that
     grants: list[Grant] = field(default_factory=list)   # that may be in use, the newest last
     asked: dict[str, float] = field(default_factory=dict)   # a second, fading, by tenant
     faded: float = 0.0
 
-    def out(self, kind: str, key: str, now: float) -> int:
-        """The most of a thing that it may be using."""
-        most, after = 0, COLD_AFTER if kind == "cold" else 0.0
-        for g in self.grants:
-            if now < g.ends + after:
-                most = max(most, g.slack if kind == "slack" else getattr(g, kind).get(key, 0))
-        return most
+    def confirm(self, number: int, now: float) -> bool:
+        """It goes by that grant or a later one: of those before only what was sent by their cold rates counts.
 
-    def confirm(self, number: int, now: float) -> None:
-        """It goes by that grant or a later one: of those before only what was sent by their cold rates counts."""
-        for g in self.grants:
-            if g.number < number and now < g.ends:
-                g.ends, g.quotas, g.slack = now, {}, 0
+        Returns whether that changes what it may be using.
+        """
+        replaced = [g for g in self.grants if g.number < number and now < g.ends]
+        for grant in replaced:
+            grant.ends, grant.quotas, grant.slack = now, {}, 0
+        return bool(replaced)
 
     def forget_ended(self, now: float) -> None:
         self.grants = [g for g in self.grants if now < g.ends + COLD_AFTER]
@@ -86,8 +71,7 @@
     level: float
     filled: float
     asked: float = 0.0      # units, fading
-    part: float = 0.0       # of the quota
-    part_at: float = -1e9   # when that was last reckoned
+    part: float = 0.0       # of the quota, when it was last drawn from
 
 
 class Allocator:
@@ -96,8 +80,13 @@
     def __init__(self, term: list, fronts: Iterable[str], now: float) -> None:
         self.term, self.since, self.number = term, now, 0
         self.fronts: dict[str, Front] = {ip: Front(ip, now) for ip in fronts}
+        self.unknown = set(self.fronts)     # fronts of which we don't know yet what they hold
+        self.known_at = now                 # when the last of these was known: what it holds, or that it is gone
+        self.lent = Lent()
+        self.census = Census([], {}, now)
         self.pools: dict[str, Pool] = {}    # by tenant, of those whose fronts draw
         self.opened: float | None = None    # when the pools did
+        self.violations: list[Violation] = []   # of invariants, until whoever calls takes them
 
     def enrol(self, fronts: Iterable[str], now: float) -> None:
         """These may hold parts from now on: by a value that is agreed, so that whoever comes after knows."""
@@ -111,15 +100,29 @@
                 if now - max(f.heard, f.since) > FORGET and all(now >= g.ends for g in f.grants)}
         for ip in gone:
             del self.fronts[ip]
+            self._know(ip, now)
+            self.lent.forget(ip)
         return gone
 
+    def _know(self, ip: str, now: float) -> None:
+        if ip in self.unknown:
+            self.unknown.discard(ip)
+            self.known_at = now
+
     def over(self, now: float) -> bool:
         """Whether all that reckoners before us lent has ended."""
         return now - self.since > HOLD + LIFE + SLACK
 
     def settled(self, now: float) -> bool:
         """Whether nothing is lent that we don't know of."""
-        return self.over(now) or all(f.known for f in self.fronts.values())
+        return self.over(now) or not self.unknown
+
+    def settled_for(self, span: float, now: float) -> bool:
+        """Whether nothing has been lent that we don't know of for so long, in s.
+
+        Fronts tell what they hold at that moment: until then they may have used more, or what has just ended.
+        """
+        return self.over(now - span) or not self.unknown and now - self.known_at > span
 
     def want(self, ip: str, life: int, region: str, seen: list, asked: Mapping[str, float], holds: list | None,
              rates: Mapping[str, float], cold: Mapping[str, tuple[int, str]], now: float) -> Grant | None:
@@ -145,10 +148,13 @@
                 front.grants.append(Grant(0, dict(quotas), dict(its_cold), slack, ends))
                 # It was told after we began, so what lasts so long outlives the last lending of those before us.
                 front.keeps = left >= HOLD and not front.told
+                self.lent.recount(front, now)
             front.told.add(life)
-            front.known = True
-        elif number and ours:
-            front.confirm(number, now)
+            if not front.known:
+                front.known, front.told_at = True, now
+            self._know(ip, now)
+        elif number and ours and front.confirm(number, now):
+            self.lent.recount(front, now)
         if life != front.life:
             front.life = life
             front.asked.clear()
@@ -156,11 +162,14 @@
         self._ask(front, asked, now)
         front.forget_ended(now)
         self.open(now)
+        if not self.census.good(rates, now):
+            self.census = Census([f for f in self.fronts.values() if now - f.heard < ALIVE], rates, now)
+        self.census.join(front)
         return self._lend(front, rates, cold, now)
 
     def open(self, now: float) -> bool:
         """Whether nobody draws from the pool of a reckoner before us: its words count no more, or it has ended."""
-        if self.opened is None and (now - self.since > HOLD or all(f.known for f in self.fronts.values())):
+        if self.opened is None and (now - self.since > HOLD or not self.unknown):
             self.opened = now
         return self.opened is not None
 
@@ -187,9 +196,7 @@
         for tenant, units in needs.items():
             if (rate := rates.get(tenant, 0.0)) <= 0.0 or (pool := self.pools.get(tenant)) is None:
                 continue
-            if now - pool.part_at > 0.1:
-                lent = sum(f.out("quotas", tenant, now) for f in self.fronts.values())
-                pool.part, pool.part_at = max(0, WHOLE - lent) / WHOLE, now
+            pool.part = max(0, WHOLE - self.lent.total(Thing("quotas", tenant), now)) / WHOLE
             most = (bursts.get(tenant, 0.0) + POOL_BURST * slack) * pool.part
             if pool.level < 0.0:    # its first draw: filled since nobody else drew from it
                 pool.level, pool.filled = POOL_START * slack * pool.part, max(pool.filled, self.opened)
@@ -210,13 +217,13 @@
         """For operators: the term, and of each front what it asked a second and what it may be using."""
         fronts = {}
         for f in self.fronts.values():
-            grants = [g for g in f.grants if now < g.ends]
-            kinds = {kind: sorted({key for g in grants for key in getattr(g, kind)}) for kind in ("quotas", "cold")}
+            parts: dict[str, dict[str, int]] = {"quotas": {}, "cold": {}, "slack": {}}
+            for thing, part in sorted(most_in_use(f.grants, now).items()):
+                parts[thing.kind][thing.key] = part
             fronts[f.ip] = {
                 "heard": round(now - f.heard, 1) if f.heard > 0.0 else None, "known": f.known,
                 "asked": {tenant: round(rate, 1) for tenant, rate in f.asked.items()},
-                "slack": f.out("slack", "", now),
-                **{kind: {key: f.out(kind, key, now) for key in keys} for kind, keys in kinds.items()}}
+                "slack": parts["slack"].get("", 0), "quotas": parts["quotas"], "cold": parts["cold"]}
         pools = {tenant: {"part": round(pool.part, 3), "units": round(max(0.0, pool.level), 1)}
                  for tenant, pool in self.pools.items()}
         return {"term": self.term[0], "settled": self.settled(now), "whole": WHOLE, "fronts": fronts, "pools": pools}
@@ -231,43 +238,60 @@
             if rate < 0.01:
                 del front.asked[tenant]
 
-    def _free(self, kind: str, key: str, whole: int, front: Front, now: float) -> int:
+    def _free(self, thing: Thing, whole: int, front: Front, now: float) -> int:
         """What may be lent to it of one thing; while something is unknown, no more than it keeps of what it held."""
-        settled = self.settled(now)
-        if kind == "cold":  # what fronts sent just before this term may have been by larger rates than they tell
-            settled = now - self.since > COLD_AFTER and self.settled(now - COLD_AFTER)
+        settled = self.settled_for(COLD_AFTER, now) if thing.kind == "cold" else self.settled(now)
+        own = self.lent.of(front.ip, thing, now)
         if not settled:
-            return front.out(kind, key, now) if front.keeps else 0
-        return max(0, whole - sum(f.out(kind, key, now) for f in self.fronts.values() if f is not front))
+            return own if front.keeps else 0
+        return max(0, whole - (self.lent.total(thing, now) - own))
+
+    def _thick(self, now: float) -> list[str]:
+        """The tenants whose fronts hold parts; the others' draw from pools."""
+        if self.census.thick is None:
+            self.census.thick = [tenant for tenant, rate in self.census.rates.items()
+                                 if not self._thin(tenant, rate, len(self.census), now)]
+        return self.census.thick
 
     def _lend(self, front: Front, rates: Mapping[str, float], cold: Mapping[str, tuple[int, str]],
               now: float) -> Grant:
-        alive = [f for f in self.fronts.values() if now - f.heard < ALIVE]
         quotas = {}
-        for tenant, rate in rates.items():
-            if self._thin(tenant, rate, len(alive), now):
-                continue
-            want = self._share(front, alive, tenant, rate)
-            part = min(int(GIVEN * want), self._free("quotas", tenant, GIVEN, front, now))
+        for tenant in self._thick(now):
+            want = self.census.share(front, tenant)
+            part = min(int(GIVEN * want), self._free(Thing("quotas", tenant), GIVEN, front, now))
             if part > 0:
                 quotas[tenant] = part
         bears = {}
-        for id, (most, region) in cold.items():
-            near = sorted(f.ip for f in alive if f.region == region) or sorted(f.ip for f in alive)
-            part = most // len(near) + (near.index(front.ip) < most % len(near)) if front.ip in near else 0
-            part = min(part, self._free("cold", id, most, front, now))
+        for backend, (most, region) in cold.items():
+            near = self.census.ranks(region)
+            if (rank := near.get(front.ip)) is None:
+                continue
+            part = most // len(near) + (rank < most % len(near))
+            part = min(part, self._free(Thing("cold", backend), most, front, now))
             if part > 0:
-                bears[id] = part
-        slack = min(GIVEN // len(alive), self._free("slack", "", GIVEN, front, now))
+                bears[backend] = part
+        slack = min(GIVEN // len(self.census), self._free(SLACK_THING, GIVEN, front, now))
         last = front.grants[-1] if front.grants and now < front.grants[-1].ends else None
         if last is not None and last.number and self._alike(last, quotas, bears, slack):
             last.ends = now + LIFE + SLACK
             return last
+        self._check_cold(front, bears, now)
         self.number += 1
         made = Grant(self.number, quotas, bears, slack, now + LIFE + SLACK)
         front.grants.append(made)
+        self.lent.recount(front, now)
         return made
 
+    def _check_cold(self, front: Front, bears: Mapping[str, int], now: float) -> None:
+        """Raised cold rates, before what fronts sent by older ones than they told of is a second ago."""
+        if self.over(now - RULE_WINDOW):
+            return
+        raised = [b for b, part in bears.items() if part > self.lent.of(front.ip, Thing("cold", b), now)]
+        told = [f.ip for f in self.fronts.values() if now - f.told_at < RULE_WINDOW]
+        if raised and told:
+            detail = f"{len(raised)} rates raised at {front.ip}, {len(told)} fronts told within {RULE_WINDOW} s"
+            self.violations.append(Violation(Invariant.COLD_RATES_REST, detail))
+
     @staticmethod
     def _alike(last: Grant, quotas: dict[str, int], cold: dict[str, int], slack: int) -> bool:
         if cold != last.cold or quotas.keys() != last.quotas.keys():
@@ -276,14 +300,3 @@
             return False
         return all(abs(part - old) <= max(LEAST_MOVE, NOISE * old)
                    for part, old in ((part, last.quotas[tenant]) for tenant, part in quotas.items()))
-
-    @staticmethod
-    def _share(front: Front, alive: list[Front], tenant: str, rate: float) -> float:
-        """The larger of the even share of what is unused, and of its asked over all asked; they add up to one."""
-        alls = sum(f.asked.get(tenant, 0.0) for f in alive)
-        unused = max(0.0, 1.0 - alls / rate) / len(alive) if rate else 1.0 / len(alive)
-
-        def own(f: Front) -> float:
-            return max(unused, f.asked.get(tenant, 0.0) / alls if alls > 0.0 else 1.0 / len(alive))
-
-        return own(front) / max(1e-9, sum(own(f) for f in alive))
--- a/fennelpoint/system/roll/desk.py
+++ b/fennelpoint/system/roll/desk.py
@@ -13,29 +13,31 @@
 from fennelpoint.system.incarnation import first_number
 from fennelpoint.system.leaving import Leaving, within
 from fennelpoint.system.mesh import ip_of, name
-from fennelpoint.system.roll.allocator import HOLD, Allocator
+from fennelpoint.system.pace import Paced
+from fennelpoint.system.roll.allocation_duty import MESSAGES, AllocationDuty
 from fennelpoint.system.roll.contact import Contact
 from fennelpoint.system.roll.directory import FRESH, Directory, homes_by_host
 from fennelpoint.system.roll.duty import SPAN, Duty
+from fennelpoint.system.roll.figures import ColdBackends, Figures
 from fennelpoint.system.roll.membership import Members
 from fennelpoint.system.roll.office import Office
-from fennelpoint.system.roll.roster import Roster
 from fennelpoint.system.roll.view import DRAINING, GONE, LOST_AFTER, READY, SPOKE, Backends, Told
 from fennelpoint.system.roll.waits import Answer, Held, Save, fault
 from fennelpoint.system.settings import Bounds
+from fennelpoint.system.spread import preference
 from fennelpoint.system.web import Asking, Reply
 
 TTL = 2.0           # s that clients may hold an answer
 WAIT_DRAIN = 0.9    # s for a majority to hold a drain
 COLD_TILL_HEARD = 1.6   # beats that a backend off the disk counts as cold at most
-LEAD_AGAIN = 3.8    # s for the store to number a term: it tells before, unless it has ended
+WHOLE_LIST_GOOD = 0.1   # s that the list for fronts that connect is used again: many come at once
+LIST_PAUSE = 0.04   # s between two changes of the list that go out to fronts
 GOSSIP = 0.6        # s between words on who was heard
-COLD_PART = 0.9     # of what a cold backend bears, lent out
 CALLS_END = 0.7     # of the time that we have to leave in, for calls to end
 WANT_AGAIN = 0.5    # s after which a content that has not come is asked for anew
 WAITS = 4.0         # s that a word waits for a content: whoever asked asks anew
-FIGURES = 2.0       # s that draws are granted by a configuration that is not the newest, while that comes
 FORGET = 60.0       # s without a word after which a front is forgotten
+READ_PAUSE = 0.15   # s between the beginnings of two reads for fronts, whose leases last for seconds
 READ_AGAIN = 0.7    # s after which a read that got no answer is asked for anew
 LATE = 1.7          # beats that nobody heard: the next one is told at once
 DOUBT, DOUBT_AGAIN = 2.4, 0.7   # beats after which the others are asked who heard it; s until they are asked again
@@ -55,26 +57,23 @@
         self.contents: dict[str, bytes] = {}    # by digest, packed
         self.wants: dict[str, list[tuple[float, Callable[[], None]]]] = {}  # what waits for a content, and since when
         self.want_at = now      # when the newest content is asked for again, while it is not here
-        self.figured = ""       # digest of the configuration that the figures of the reckoning are of
-        self.behind = now       # since when that is not the newest
         self.fronts: dict[str, int] = {}        # that are connected, and the number each one has heard of
         self.number = 0         # of the newest change of the list
+        self.changes = Paced(LIST_PAUSE)        # ids whose changes go out to fronts together
+        self.whole_list: list = []      # for fronts that connect, as it was a moment ago
+        self.whole_list_until = now
         self.calls: dict[int, Held] = {}
         self.tokens = first_number(life)
         self.helpers: dict[str, str] = {}       # fronts that are cut off from here, and who passes words on for them
         self.told_fronts: list[str] = []
         self.about: dict[str, dict] = {}        # what fronts that are connected said of themselves
+        self.cold = ColdBackends(bounds, regions)
         # A first start: nothing was granted before.
-        self.duty = Duty(me, now if first else now + SPAN, first_number(life))
-        self.allocator: Allocator | None = None     # while the duty of reckoning parts is ours
-        self.leading: tuple[int, float] | None = None   # the call for our term's number, and when to call again
+        duty = Duty(me, now if first else now + SPAN, first_number(life))
+        self.allocation = AllocationDuty(self, duty, self.cold)
         self.read_at = -1e9     # when the newest read that ended began
-        self.roster = Roster()  # of our term
-        self.rates: dict[str, float] = {}       # of tenants, by the configuration
-        self.bursts: dict[str, float] = {}
-        self.cold_by: dict[str, tuple[float, float]] = {}   # s and tries a second of services' cold backends
-        self.restored: dict[str, float] = {}    # zones that were taken back, and when
         self.asks: list[tuple[str, float, float]] = []   # wait for the next read
+        self.read_begun = -1e9
         self.reading: tuple[int, float, list] | None = None
         self.gossip_at = self.sweep_at = now
         self.news: set[str] = set()             # ids heard here since the last word to others
@@ -98,7 +97,7 @@
         self._woke(now)
         kind, *rest = message
         self.helpers.pop(peer, None)    # it speaks for itself
-        do = getattr(self, f"_on_{kind}", None)
+        do = getattr(self.allocation, f"on_{kind}") if kind in MESSAGES else getattr(self, f"_on_{kind}", None)
         if do is not None:
             do(peer, now, *rest)
         return self._done()
@@ -110,11 +109,8 @@
             self.out.append(Note("STOP", {"node": self.me}))
             for held in self.calls.values():
                 held.until = min(held.until, now + CALLS_END * self.leaving.most)
-            if self.allocator is not None:
-                self.out.append(Note("YIELDS", {"node": self.me, "reason": "it leaves"}))
-            self.allocator = None
-            self.duty.resign()
-            self._duties(now)
+            self.allocation.resign()
+            self.allocation.tick(now, claims=False)
             self._gossip(now)
         return self._done()
 
@@ -155,11 +151,16 @@
                     self.about.pop(front, None)
                     self.helpers.pop(front, None)
         elif peer == self.store and up:
-            self.leading = (0, now) if self.leading is not None else None   # the store has forgotten that we asked
-            self.roster.forgotten()
+            self.allocation.store_restarted(now)
             if self.reading is not None:    # it did not hear of it: those that wait need not ask again
                 self.asks, self.reading = self.reading[2] + self.asks, None
-            self._read(now, own=self.allocator is not None)
+            self._read(now, own=self.allocation.allocator is not None)
+        return self._done()
+
+    def refused(self, peer: str, dialled_at: float, now: float) -> list:
+        """A machine says that no process listens at a peer's address, to a connection dialled at that time."""
+        if peer.startswith("roll@") and not self.contact.late(now):
+            self.allocation.duty.ended(ip_of(peer), dialled_at, now)
         return self._done()
 
     def tick(self, now: float) -> list:
@@ -177,7 +178,9 @@
         if now >= self.want_at and self.world and self.world["digest"] not in ("", *self.contents):
             self.want_at = now + WANT_AGAIN
             self.send(self.store, ["want", self.world["digest"]])
-        self._duties(now)
+        self.allocation.tick(now, claims=not self.leaving)
+        self._read(now)
+        self._tell_fronts(self.changes.due(now), now)
         if now >= self.gossip_at:
             self.gossip_at = now + GOSSIP
             self._gossip(now)
@@ -254,7 +257,7 @@
     def others(self) -> list[str]:
         return [name("roll", ip) for ip in sorted(self.core) if ip != self.me]
 
-    def _quorum(self, holders: set[str]) -> bool:
+    def majority(self, holders: set[str]) -> bool:
         voters = self.world["voters"] if self.world else {ip: "" for ip in self.seeds}
         return len(holders & voters.keys()) > len(voters) // 2
 
@@ -262,7 +265,7 @@
 
     def in_touch(self, now: float) -> bool:
         """Whether what is acknowledged here can be told to a majority."""
-        return self.contact.in_touch(self._quorum, now)
+        return self.contact.in_touch(self.majority, now)
 
     def _on_probe(self, peer: str, now: float, stamp: int) -> None:
         self.send(peer, ["echo", stamp])
@@ -293,7 +296,7 @@
         changed = self.backends.fold(told, now) or told.id in self.doubted
         self.news.add(told.id)
         body = {}
-        if (nearest := self._nearest(told.zone, now)) is not None:
+        if (nearest := self._nearest(told.id, told.zone, now)) is not None:
             body["heartbeat_address"] = f"{nearest}:{self.port}"
         if changed:
             self._push([told.id], now)
@@ -315,18 +318,18 @@
             self._push([told.id], now)
         self._spread(asking, [told.id], now, Reply(200, {}))
 
-    def _nearest(self, zone: str, now: float) -> str | None:
-        """The core machine in touch that a backend of that zone does best to call."""
+    def _nearest(self, backend: str, zone: str, now: float) -> str | None:
+        """The core machine in touch that a backend of that zone does best to call; each has one of its own."""
         region = self.regions.get(zone)
         core = {ip: z for ip, z in self.core.items() if (
             self.in_touch(now) if ip == self.me else self.contact.believed(ip, now))}
-        same = sorted(ip for ip, z in core.items() if z == zone)
-        near = sorted(ip for ip, z in core.items() if self.regions.get(z) == region)
-        return same[0] if same else near[zlib.crc32(zone.encode()) % len(near)] if near else None
+        same = [ip for ip, z in core.items() if z == zone]
+        near = [ip for ip, z in core.items() if self.regions.get(z) == region]
+        return min(same or near, key=lambda ip: preference(backend, ip), default=None)
 
     def _spread(self, asking: Asking, ids: list[str], now: float, reply: Reply) -> None:
         """Answer once a majority of the core holds it: that is proof of contact by itself."""
-        if not self.in_touch(now) and not self._quorum({self.me, *self.links}):
+        if not self.in_touch(now) and not self.majority({self.me, *self.links}):
             self._share(ids, now, 0)
             return self.answer(asking, fault(503, "no majority hears this machine"))
         self.tokens += 1
@@ -337,7 +340,7 @@
         self._held(token)
 
     def _held(self, token: int) -> None:
-        if (held := self.calls.get(token)) is not None and self._quorum(held.holders):
+        if (held := self.calls.get(token)) is not None and self.majority(held.holders):
             del self.calls[token]
             held.then([])
 
@@ -368,7 +371,8 @@
             for front in self.fronts:
                 self.send(front, ["fronts", fronts])
         sure = self.in_touch(now)
-        for peer in self.others:
+        # A newcomer that is connected hears it, too: until a change that names it is agreed nobody else knows of it.
+        for peer in sorted({*self.others, *(name("roll", ip) for ip in self.links)}):
             self.send(peer, ["heard", news, whole, brief, self.contact.word(ip_of(peer), sure, now)])
 
     def _on_heard(self, peer: str, now: float, news: list, whole: list, brief: list, word: list) -> None:
@@ -405,12 +409,19 @@
     # Fronts
 
     def _push(self, ids: list[str], now: float) -> None:
-        """A numbered change of the list, to every front that is connected here."""
+        """These have changed: keep them, and tell every front that is connected here, several at a time."""
         if not ids:
             return
-        self.number += 1
+        self.whole_list_until = now
         self.doubted.difference_update(id for id in ids if now - self.backends.known[id].spoke < SPOKE)
         self.out.append(Save([self.backends.known[id].now(now).pack() for id in ids], []))
+        self._tell_fronts(self.changes.add(ids, now), now)
+
+    def _tell_fronts(self, ids: list[str], now: float) -> None:
+        """A numbered change of the list."""
+        if not ids:
+            return
+        self.number += 1
         items = self._items(ids, now)
         for peer in self.fronts:
             self.send(peer, ["list", self.life, self.number, items, False])
@@ -436,7 +447,10 @@
             self._share(changed, now, 0)
             self._push(changed, now)
         self.fronts[peer] = 0
-        self.send(peer, ["list", self.life, self.number, self._items(list(self.backends.known), now), True])
+        if now >= self.whole_list_until:
+            self.whole_list = self._items(list(self.backends.known), now)
+            self.whole_list_until = now + WHOLE_LIST_GOOD
+        self.send(peer, ["list", self.life, self.number, self.whole_list, True])
         self.send(peer, ["fronts", self.told_fronts])
         if self.world:
             self.send(peer, ["core", self.core, self.world["rev"]])
@@ -447,7 +461,7 @@
         front = name("span", ip)
         self.helpers[front] = peer
         do = {"front": self._on_front, "ask": self._on_ask, "need": self._on_need,
-              "draw": self._on_draw}.get(message[0])
+              "draw": self.allocation.on_draw}.get(message[0])
         if do is not None:
             do(front, now, *message[1:])
 
@@ -466,179 +480,30 @@
         self.fronts[peer] = heard
         self.asks.append((peer, now, number))
         self._read(now)
-        if want and self.duty.holder is not None:
-            ask = ["want", ip_of(peer), about["life"], about["region"], number, *want]
-            if self.allocator is not None:
-                self._on_want(name("roll", self.me), now, *ask[1:])
-            else:
-                self.send(name("roll", self.duty.holder[1]), ask)
-
-    # The duty of reckoning parts
-
-    def _duties(self, now: float) -> None:
-        whole = self._quorum({self.me, *self.links})
-        line = sorted(self.world["voters"]) if self.world else []
-        if self.allocator is not None and not self.duty.holds(now):
-            self.allocator = None
-            self.duty.leave()
-            self.out.append(Note("YIELDS", {"node": self.me, "reason": "no majority grants it any more"}))
-        claims = self.me in line and not self.leaving
-        if claims and (term := self.duty.due(now, line.index(self.me), whole)) is not None:
-            held = self.duty.holds(now)
-            for peer in self.others:
-                self.send(peer, ["claim", list(term), held, self.duty.claims])
-            if (firm := self.duty.claimed(term, held, self.duty.claims, now)) is not None:
-                self._voted(term, self.duty.claims, self.me, firm, now)
-        if self.duty.left is not None:
-            for peer in self.others:
-                self.send(peer, ["released", list(self.duty.left), self.duty.claims])
-            self.duty.released(self.duty.left, self.duty.claims, now)
-            self.duty.left = None
-        if self.allocator is not None and now - self.read_at > HOLD / 3:
-            self._read(now, own=True)
-        if self.leading is not None and now >= self.leading[1]:
-            self.leading = None
-            if self.duty.holds(now):
-                self._lead(now)
-        if self.allocator is not None and (
-                due := self.roster.due(self.allocator, self.world["fronts"], self.tokens + 1, now)) is not None:
-            self.tokens += 1
-            self.send(self.store, ["change", self.tokens, *due, b""])
-            if due[0] == "dismiss":
-                self.out.append(Note("DISMISSED", {"fronts": ", ".join(due[1][0])}))
-
-    def _on_leads(self, peer: str, now: float, term: list) -> None:
-        """Who reckons parts has begun: the fronts here ask at once."""
-        if self.duty.holder is None or self.duty.holder[1] != term[1]:
-            self.duty.holder, self.duty.holder_at = (self.duty.highest, term[1]), now
-        for front in self.fronts:
-            self.send(front, ["tell", term])
-
-    def _on_claim(self, peer: str, now: float, term: list, held: bool, number: int) -> None:
-        if (firm := self.duty.claimed(tuple(term), held, number, now)) is not None:
-            self.send(peer, ["granted", term, number, firm])
-
-    def _on_released(self, peer: str, now: float, term: list, number: int) -> None:
-        self.duty.released(tuple(term), number, now)
+        if want:
+            self.allocation.ask(now, [ip_of(peer), about["life"], about["region"], number, *want])
 
-    def _on_granted(self, peer: str, now: float, term: list, number: int, firm: bool) -> None:
-        self._voted(tuple(term), number, ip_of(peer), firm, now)
-
-    def _voted(self, term: tuple, number: int, by: str, firm: bool, now: float) -> None:
-        if self.duty.voted(term, number, by, firm, self.world["voters"] if self.world else self.seeds, now):
-            self._lead(now)
-
-    def _lead(self, now: float) -> None:
-        """The duty is ours; its term is a number that is agreed, since no registry remembers one."""
-        self.tokens += 1
-        self.leading = (self.tokens, now + LEAD_AGAIN)
-        self.send(self.store, ["change", self.tokens, "lead", [], b""])
-
-    def _begin_term(self, world: dict, now: float) -> None:
-        sent, self.leading = self.leading[1] - LEAD_AGAIN, None
-        if self.duty.holds(now) and world["term"] == self.world["term"]:
-            # The term was the newest at some time after it was asked for, which may be long before this answer.
-            self.allocator, self.read_at = Allocator([world["term"], self.me], world["fronts"], now), sent
-            self.roster = Roster()
-            self.out.append(Note("LEADS", {"node": self.me, "term": world["term"]}))
-            self._call_fronts(now)
-
-    def _call_fronts(self, now: float) -> None:
-        """All fronts are to ask now: we have begun, or know by now what is lent."""
-        for peer in self.others:
-            self.send(peer, ["leads", self.allocator.term])
-        self._on_leads(self.me, now, self.allocator.term)
-
-    def _on_want(self, peer: str, now: float, ip: str, life: int, region: str, number: int, seen: list, asked: dict,
-                 holds: list | None) -> None:
-        """A front's ask for parts, to whoever reckons them, by way of the registry that it asks."""
-        # Guards parts against a reckoner that another has followed: voters change, so that two may hold the duty.
-        if self.allocator is None or not self.duty.holds(now) or now - self.read_at > HOLD:
-            return
-        if not self.roster.admits(ip, self.world["fronts"]):
-            return
-        self.allocator.enrol([ip], now)
-        before = self.allocator.settled(now)
-        grant = self.allocator.want(ip, life, region, seen, asked, holds, self.rates, self._cold(now), now)
-        term = self.allocator.term
-        if grant is None:
-            answer = ["tell", ip, term]
-        elif [term, grant.number] == seen:
-            answer = ["lend", ip, number, term, grant.number, None]
-        else:
-            answer = ["lend", ip, number, term, grant.number, grant.pack()]
-        if ip_of(peer) == self.me:
-            self._hand_on(answer)
-        else:
-            self.send(peer, answer)
-        if not before and self.allocator.settled(now):
-            self._call_fronts(now)
-
-    def _on_draw(self, peer: str, now: float, number: int, needs: dict) -> None:
-        """A front asks for units of tenants that have no part there."""
-        if self.allocator is not None:
-            self._on_drawn(name("roll", self.me), now, ip_of(peer), number, needs)
-        elif self.duty.holder is not None:
-            self.send(name("roll", self.duty.holder[1]), ["drawn", ip_of(peer), number, needs])
-
-    def _on_drawn(self, peer: str, now: float, ip: str, number: int, needs: dict) -> None:
-        if self.allocator is None or not self.duty.holds(now) or now - self.read_at > HOLD:
-            return
-        # Guards a lower limit: units by the one before it are none of ours to give for long.
-        if self.figured != self.world["digest"] and now - self.behind > FIGURES:
-            return
-        drawn = self.allocator.draw(ip, needs, self.rates, self.bursts, self.bounds.quota_slack, now)
-        if drawn is None:
-            return
-        answer = ["units", ip, number, self.allocator.term, *drawn]
-        if ip_of(peer) == self.me:
-            self._hand_on(answer)
-        else:
-            self.send(peer, answer)
-
-    def _on_units(self, peer: str, now: float, *rest: object) -> None:
-        self._hand_on(["units", *rest])
-
-    def _hand_on(self, answer: list) -> None:
-        kind, ip, *rest = answer
-        self.send(name("span", ip), [kind, *rest])
-
-    def _on_lend(self, peer: str, now: float, *rest: object) -> None:
-        self._hand_on(["lend", *rest])
-
-    def _on_tell(self, peer: str, now: float, *rest: object) -> None:
-        self._hand_on(["tell", *rest])
-
-    def _cold(self, now: float) -> dict[str, tuple[int, str]]:
-        """What each cold backend bears in a second, and its region."""
-        made = {}
-        for id, b in self.backends.known.items():
-            if b.told.state != READY:
-                continue
-            for_s, rate = self.cold_by.get(b.told.service, (0.0, 0.0))
-            if now < max(b.cold_until, self.restored.get(b.told.zone, -1e9) + for_s):
-                most = int((rate * self.bounds.cold_overshoot + self.bounds.cold_slack) * COLD_PART)
-                made[id] = (max(1, most), self.regions.get(b.told.zone, ""))
-        return made
-
-    def _figures(self) -> None:
-        """What the reckoning goes by, of the configuration that is newest here."""
+    def _take_figures(self) -> None:
+        """Go by the configuration that is newest here, if it is here."""
         digest = self.world["digest"]
-        if digest != self.figured and (data := self.contents.get(digest)) is not None:
-            self.figured = digest
-            value = versions.json.loads(zlib.decompress(data))
-            self.directory.homes = homes_by_host(value)
-            self.rates = {t["name"]: float(t.get("rate_per_s") or 0.0) for t in value.get("tenants", ())
-                          if t.get("rate_per_s")}
-            self.bursts = {t["name"]: float(t.get("burst_size") or 0.0) for t in value.get("tenants", ())}
-            self.cold_by = {c["name"]: (float(c.get("cold_start_s") or 0.0), float(c.get("cold_rate_s") or 0.0))
-                            for c in value["clusters"]}
+        if digest != self.allocation.figures.digest and (data := self.contents.get(digest)) is not None:
+            configuration = versions.json.loads(zlib.decompress(data))
+            self.directory.homes = homes_by_host(configuration)
+            self.allocation.figures = Figures.read(digest, configuration)
+
+    def read_for_itself(self, now: float) -> None:
+        """A read that no front waits for."""
+        self._read(now, own=True)
 
     def _read(self, now: float, own: bool = False) -> None:
-        """One read of the newest at a time; it serves all asks that came before it began."""
-        if self.reading is None and (self.asks or own):
+        """One read of the newest at a time, paced; it serves all asks that came before it began.
+
+        Each read asks a majority in other regions: with many fronts one would follow the other.
+        """
+        if self.reading is None and (own or self.asks and now - self.read_begun >= READ_PAUSE):
             self.tokens += 1
             asks, self.asks = self.asks, []
+            self.read_begun = now
             self.reading = (self.tokens, now + READ_AGAIN, asks)
             self.send(self.store, ["read", self.tokens])
 
@@ -661,21 +526,18 @@
         if self.world and world["rev"] <= self.world["rev"]:
             return
         for zone in set(self.world["evac"] if self.world else ()) - set(world["evac"]):
-            self.restored[zone] = now
+            self.cold.restored[zone] = now
         was = self.world.get("digest", "")
         moved = not self.world or self.core != {**world["ready"], **world["voters"]}
         self.world = world
-        if self.allocator is not None and world["term"] > self.allocator.term[0]:
-            self.allocator = None
-            self.duty.leave()
-            self.out.append(Note("YIELDS", {"node": self.me, "reason": f"term {world['term']} has begun"}))
-        if was in ("", self.figured) and world["digest"] != self.figured:
-            self.behind = now
+        self.allocation.on_world(world["term"], now)
+        if was in ("", self.allocation.figures.digest) and world["digest"] != self.allocation.figures.digest:
+            self.allocation.behind_since = now
         if world["digest"] and world["digest"] not in self.contents:
             self.want_at = now + WANT_AGAIN
             self.send(self.store, ["want", world["digest"]])
         else:
-            self._figures()
+            self._take_figures()
         for front in self.fronts:
             if moved:
                 self.send(front, ["core", self.core, self.world["rev"]])
@@ -686,7 +548,7 @@
         while len(self.contents) > 4:
             self.contents.pop(next(iter(self.contents)))
         if self.world and digest == self.world["digest"]:
-            self._figures()
+            self._take_figures()
         for _, then in self.wants.pop(digest, ()):
             then()
 
@@ -716,10 +578,10 @@
             self._on_world(peer, now, world)
         if status not in (200, 503):
             self.out.append(Note("REFUSED", {"reason": reason}))
-        if self.leading is not None and token == self.leading[0]:
+        if self.allocation.leading is not None and token == self.allocation.leading[0]:
+            self.allocation.term_numbered(status, world, now)
             if status == 200:
-                return self._begin_term(world, now)
-            self.leading = (0, now)
-        self.roster.changed(token, status)
+                return
+        self.allocation.roster.changed(token, status)
         if (held := self.calls.pop(token, None)) is not None:
             held.then([status, reason])
--- a/fennelpoint/system/roll/duty.py
+++ b/fennelpoint/system/roll/duty.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass, field
+from math import inf
 
 from fennelpoint.system.incarnation import same_life
 
@@ -33,8 +34,10 @@
     highest: int = 0        # of the terms that were heard of
     term: Term | None = None    # ours, while we hold or claim it
     held_until: float = -1e9
+    able_at: float = inf    # since when we hear a majority and may claim
     again: float = -1e9     # we claim no sooner, after a claim that came to nothing
     tried_at: float = -1e9  # when we began to claim
+    backed_at: float = -1e9     # when a majority had granted a claim of ours last, firmly or not
     left: Term | None = None    # a claim that came to nothing, to be told to all
     claimed_at: float = -1e9
     sent: dict[int, float] = field(default_factory=dict)    # those of our term that may still win, and when
@@ -51,17 +54,21 @@
             if now - self.claimed_at < RENEW:
                 return None
         else:
-            if self.term is not None and now < self.tried_at + TRY:
+            if self.term is not None and now < max(self.tried_at, self.backed_at) + TRY:
                 if now - self.claimed_at < REPEAT:
                     return None     # it is under way
                 return self._claim(now)     # some may not have been there to hear it
             if self.term is not None:
                 self.left, self.term = self.term, None  # it was not to be: another may be granted it
                 self.again = now + TURN * (rank + 1)
-            if not whole or now < max(self.again, self.grants_from - SPAN + TURN * (rank + 1)):
+            if not whole:
+                self.able_at = inf
+                return None
+            self.able_at = min(self.able_at, now)
+            others = self.until if self.granted != self.me else -inf
+            free_at = max(self.able_at, self.holder_at + SPAN, others)  # no other one holds it, or may
+            if now < max(self.again, free_at + TURN * rank):
                 return None
-            if now < max(self.holder_at + SPAN, self.until if self.granted != self.me else now) + TURN * rank:
-                return None     # another one holds it, or may
             self.term, self.tried_at = (self.highest + 1, self.me), now
             self.sent.clear()
             self.votes.clear()
@@ -82,17 +89,31 @@
         # One that is not renewed any more makes room: terms of different claimants tell no order in time.
         if held and (self.holder is None or term >= self.holder or now - self.holder_at > 2.0 * RENEW):
             self.holder, self.holder_at = term, now
+        if self._stands_back(term, now):
+            self.left, self.term = self.term, None
+            self.until = now    # our vote was ours
         if now < self.until and self.granted != term[1]:
             return None
         self.granted, self.granted_for, self.until = term[1], claim, now + SPAN
         return now >= self.grants_from
 
+    def _stands_back(self, rival: Term, now: float) -> bool:
+        """Whether we give up a claim that can't win soon for one of a machine before us in the line.
+
+        It may not have heard us, nor we it, when links came up.  Each would keep its vote for itself.
+        """
+        if self.term is None or self.holds(now) or self.granted != self.me:
+            return False
+        return rival[1] < self.me
+
     def voted(self, term: Term, claim: int, by: str, firm: bool, voters: Collection[str], now: float) -> bool:
         """A grant came; whether we hold the duty by it and did not before."""
         if term != self.term or claim not in self.sent:
             return False
         votes = self.votes[claim]
         votes[by] = firm
+        if 2 * sum(ip in votes for ip in voters) > len(voters):
+            self.backed_at = now    # nobody else can win before us
         firmly = sum(votes.get(ip, False) for ip in voters)
         if 2 * firmly <= len(voters) and not all(ip in votes for ip in voters):
             return False
@@ -104,9 +125,19 @@
         """Claims up to this one, which we may have granted, came to nothing, or who held the duty has left it;
         later ones, or another life's, stand."""
         if self.granted == term[1] and same_life(claim, self.granted_for) and claim >= self.granted_for:
-            self.until = -1e9
+            self.until = min(self.until, now)   # the next in line takes its turn from now
         if self.holder == term:
-            self.holder_at = now - SPAN     # its lease has ended: the next in line takes its turn from now
+            self.holder_at = now - SPAN     # its lease has ended: so does the next in line after it
+
+    def ended(self, ip: str, dialled_at: float, now: float) -> None:
+        """The machine refused a connection that was dialled then: a process that held the duty before has ended.
+
+        Guards a grant to its next life: that is later than the dialling.
+        """
+        if self.granted == ip and self.until - SPAN < dialled_at:
+            self.until = min(self.until, now)
+        if self.holder is not None and self.holder[1] == ip and self.holder_at < dialled_at:
+            self.holder_at = min(self.holder_at, now - SPAN)
 
     def resign(self) -> None:
         """Leave it before its lease ends; `left` is to be told to all, so that another may be granted it."""
--- a/fennelpoint/system/roll/office.py
+++ b/fennelpoint/system/roll/office.py
@@ -12,8 +12,8 @@
 from result import Err, Result
 
 from fennelpoint.system import versions
-from fennelpoint.system.roll.allocator import Allocator
-from fennelpoint.system.roll.duty import SPAN, Duty
+from fennelpoint.system.roll.allocation_duty import AllocationDuty
+from fennelpoint.system.roll.duty import SPAN
 from fennelpoint.system.roll.membership import Members
 from fennelpoint.system.roll.view import DRAINING, Backends
 from fennelpoint.system.roll.waits import Held, fault
@@ -46,8 +46,7 @@
     links: set[str]
     members: Members
     backends: Backends
-    duty: Duty
-    allocator: Allocator | None
+    allocation: AllocationDuty
 
     def in_touch(self, now: float) -> bool: ...
     def answer(self, asking: Asking, reply: Reply) -> None: ...
@@ -176,12 +175,12 @@
     def _call_status(self, asking: Asking, now: float) -> None:
         """The whole as this core machine sees it."""
         desk, world = self.desk, self.desk.world
-        holder = desk.duty.holder
+        holder = desk.allocation.duty.holder
         self.desk.answer(asking, Reply(200, {
             "node": desk.me, "version": world.get("version", 0), "revision": world.get("rev", 0),
             "voters": world.get("voters", {}), "before": world.get("before", {}), "ready": world.get("ready", {}),
             "evacuated": world.get("evac", []), "term": world.get("term", 0),
-            "reckons": holder[1] if holder is not None and now - desk.duty.holder_at < SPAN else "",
+            "reckons": holder[1] if holder is not None and now - desk.allocation.duty.holder_at < SPAN else "",
             "linked": sorted(desk.links), "in_touch": desk.in_touch(now),
             "behind": sorted(m.ip for m in desk.members.known.values() if m.version < world.get("version", 0)),
             "drains": sorted(id for id, b in desk.backends.known.items() if b.told.state == DRAINING),
@@ -190,9 +189,9 @@
 
     def _call_parts(self, asking: Asking, now: float) -> None:
         """Who holds which parts, told by who reckons them; elsewhere, where that is."""
-        desk = self.desk
-        if desk.allocator is not None and desk.duty.holds(now):
-            return desk.answer(asking, Reply(200, {"node": desk.me, **desk.allocator.told(now)}))
-        if (holder := desk.duty.holder) is None or now - desk.duty.holder_at >= SPAN or holder[1] == desk.me:
+        desk, duty, allocator = self.desk, self.desk.allocation.duty, self.desk.allocation.allocator
+        if allocator is not None and duty.holds(now):
+            return desk.answer(asking, Reply(200, {"node": desk.me, **allocator.told(now)}))
+        if (holder := duty.holder) is None or now - duty.holder_at >= SPAN or holder[1] == desk.me:
             return desk.answer(asking, fault(503, "nobody reckons parts"))
         desk.answer(asking, Reply(307, {}, headers=[("Location", f"http://{holder[1]}:{desk.port}/api/parts")]))
--- a/fennelpoint/system/roll/program.py
+++ b/fennelpoint/system/roll/program.py
@@ -29,7 +29,8 @@
                          secrets.randbits(40), settings.first_start, time.monotonic())
         self.disk = Disk(settings.data_directory)
         self.desk.restore(self.disk.rows, time.monotonic())
-        self.mesh = Mesh(loop, "roll", settings.ip_address, settings.internal_ports, self.take, self.linked)
+        self.mesh = Mesh(loop, "roll", settings.ip_address, settings.internal_ports, self.take, self.linked,
+                         refused=self.refused)
         self.web = Web(loop, self.call)
         self.stopped = loop.create_future()
 
@@ -54,6 +55,9 @@
     def linked(self, peer: str, up: bool) -> None:
         self.carry_out(self.desk.linked(peer, up, time.monotonic()))
 
+    def refused(self, peer: str, dialled_at: float) -> None:
+        self.carry_out(self.desk.refused(peer, dialled_at, time.monotonic()))
+
     def call(self, asking: Asking) -> None:
         try:
             self.carry_out(self.desk.call(asking, time.monotonic()))
--- a/fennelpoint/system/span/core_session.py
+++ b/fennelpoint/system/span/core_session.py
@@ -12,14 +12,16 @@
 from fennelpoint.system.actions import Send
 from fennelpoint.system.incarnation import first_number
 from fennelpoint.system.mesh import ip_of, name
-from fennelpoint.system.roll.allocator import DRAW_LIFE, LIFE
+from fennelpoint.system.roll.grants import DRAW_LIFE, LIFE
 from fennelpoint.system.roll.view import Backends, Told
+from fennelpoint.system.spread import preference
 
 RENEW = 0.5         # s between asks
 PATIENCE = 0.4      # s without an answer after which another core machine is asked, too
 CUT, HELPERS = 0.9, 2   # s without an answer after which other fronts are asked to pass words on; how many
 ANSWERS = 1.2       # s without an answer after which the nearest core machine is passed over: two asks
 AGAIN = 0.45        # s after which a content is asked for anew
+NEXT_SEED = 0.15    # s without the core's members after which one more seed is dialled
 
 
 @dataclass(slots=True)
@@ -139,20 +141,24 @@
     # Whom to hear
 
     def order(self) -> list[str]:
-        """Core machines, the nearest first; where nothing is known of them, the seeds."""
+        """Core machines, the nearest first, equals in an order of our own; the seeds, while nothing is known."""
         zones = {ip: "" for ip in self.seeds} | self.core
 
         def far(ip: str) -> tuple:
             zone = zones[ip]
-            return (zone != self.zone, self.regions.get(zone) != self.region, ip)
+            return (zone != self.zone, self.regions.get(zone) != self.region, preference(self.me, ip))
 
         return sorted(zones, key=far)
 
-    def peers(self) -> set[str]:
-        """Those to hold connections to: the nearest, and one in each of two other regions."""
+    def peers(self, now: float) -> set[str]:
+        """Those to hold connections to: the nearest, and one in each of two other regions.
+
+        While no core machine is known, one seed after the other: hundreds of fronts may start together.
+        """
         order, chosen, regions = self.order(), [], set()
         if not self.core:
-            return {name("roll", ip) for ip in order} | self.helping()
+            tried = 1 + int((now - self.born) / NEXT_SEED)
+            return {name("roll", ip) for ip in order[:tried]} | self.helping()
         for ip in order:
             region = self.regions.get(self.core.get(ip, ""), ip)
             if region not in regions or ip == order[0]:
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -17,6 +17,7 @@
 from fennelpoint.state import Cut
 from fennelpoint.system.events import Event, say
 from fennelpoint.system.mesh import Mesh
+from fennelpoint.system.pace import Paced
 from fennelpoint.system.roll.view import DRAINING, GONE
 from fennelpoint.system.settings import Settings, address
 from fennelpoint.system.span.brief_waiting import OVER_ADVICE
@@ -44,6 +45,8 @@
 OVER_PART, MORE_PART = 0.9, 0.5     # of a quota's overshoot and slack, used
 AGAIN = 0.2         # s between tries to reach a core machine: it may have just come back, and nobody dials us
 GATHER = 0.003      # s in which asks for units go together
+REFRESH_PAUSE = 0.02    # s between two looks at a list that has changed
+LIST = "list"
 SHARERS = 3.0       # fronts that are likely to send to one backend
 
 
@@ -78,6 +81,8 @@
         self.cut: Cut | None = None     # what admission takes off whom, as last told
         self.evac: frozenset = frozenset()
         self.restored: dict[str, float] = {}    # zones that were taken back, and until when they count as cold
+        self.refreshes = Paced(REFRESH_PAUSE)
+        self.refresh_timer: asyncio.TimerHandle | None = None
         self.stopped = loop.create_future()
         self.look = Leaving(loop, self.life, self.server, self.host, self._end).look
 
@@ -101,7 +106,7 @@
     def _tick(self) -> None:
         self.loop.call_later(TICK, self._tick)
         self.carry_out(self.session.tick(time.monotonic()))
-        self.mesh.dial(self.session.peers())
+        self.mesh.dial(self.session.peers(time.monotonic()))
 
     def take(self, peer: str, message: list) -> None:
         self.carry_out(self.session.heard(peer, message, time.monotonic()))
@@ -117,7 +122,7 @@
                 case Apply(version, data):
                     self._apply(version, data)
                 case Refresh():
-                    self._refresh()
+                    self._refresh_soon()
                 case Hold(held, reason):
                     self._hold(held, reason)
                 case Lend():
@@ -143,6 +148,8 @@
 
     def _hold(self, held: bool, reason: str) -> None:
         now = time.monotonic()
+        if held and self.refresh_timer is not None:
+            self._refresh_again()   # requests are taken from now on: by the list as it is
         if not held:
             say(Event.LAPSED, node=self.settings.node_name, reason=reason)
         self.host.post(api.Barred(not held))
@@ -184,6 +191,20 @@
                 and (homes is None or regions.get(b.told.zone) in homes)))
         self.host.post(api.Cells(cells))
 
+    def _refresh_soon(self) -> None:
+        """Guards the loop: the list is gone through whole, and hundreds of backends may change within a second."""
+        now = time.monotonic()
+        if self.refreshes.add([LIST], now):
+            self._refresh()
+        elif self.refresh_timer is None:
+            self.refresh_timer = self.loop.call_later(self.refreshes.wait(now), self._refresh_again)
+
+    def _refresh_again(self) -> None:
+        self.refresh_timer.cancel()
+        self.refresh_timer = None
+        self.refreshes.take(time.monotonic())
+        self._refresh()
+
     def _refresh(self) -> None:
         """The list as it is now, for the sockets and the module."""
         now, session = time.monotonic(), self.session
--- a/fennelpoint/system/writ/keeper.py
+++ b/fennelpoint/system/writ/keeper.py
@@ -65,6 +65,7 @@
 PAUSE = (0.015, 0.09)   # s between two rounds that got into each other's way; twice as long each time
 MOST_PAUSES = 4         # times that it grows
 PEEK_AGAIN, PEEKS = 0.04, 3     # s between looks that found no majority alike, and how many until a round tells
+REPAIRS = 2.0           # of all readers, about so many at a time end a change that its own round has not ended
 REJOIN = 0.4            # s between tries to come back
 STAND_BY = 0.5          # s between tries to become a voter
 ANSWERED = 0.25         # s after which it is looked at what others say of one that is silent
@@ -757,7 +758,7 @@
         if all(reading["whom"] & g <= answers.keys() for g in groups) and holds(voting, groups):
             # All answered, and no majority holds the same: a change is under way.  Most often its own round ends it.
             self.peeks += 1
-            if self.peeks >= PEEKS:
+            if self.peeks >= PEEKS and self.random.random() < REPAIRS / max(1, len(self.peers)):
                 return self._by_round(now)
             self.readers, self.reading = reading["tokens"] + self.readers, None
             self.peek_at = now + PEEK_AGAIN
--- a/tests/fleet/test_audit.py
+++ b/tests/fleet/test_audit.py
@@ -18,11 +18,34 @@
 from fennelpoint.standins.rig import Rig, Shape
 from fennelpoint.standins.world import run
 
+# s from an ingress's send until the observer, which shares a busy machine, has read it: 6.5 ms were seen.
+IN_FLIGHT = 0.05
+
 
 def moment(at: float) -> tuple[float, float]:
     return at, at
 
 
+def sent_within(asked: float, arrived: float, offset: float) -> tuple[float, float]:
+    """When an ingress sent a request: after its client had asked, and shortly before it arrived."""
+    return max(asked, arrived - IN_FLIGHT) + offset, arrived + offset
+
+
+def test_a_request_in_flight_while_its_ingress_turns_is_not_held_against_the_audit():
+    book = Book("n0", "a", 0, "z0")
+    book.turn(1, "why", moment(10.0))
+    book.turn(2, "why", moment(20.0))
+    book.mark(moment(30.0))
+    spans = list(book.spans.values())
+
+    def answered(asked: float, arrived: float) -> tuple[int, ...]:
+        return at_time(spans, "n0", sent_within(asked, arrived, 0.0)).versions
+
+    assert answered(19.99, 20.01) == (1, 2)
+    assert answered(20.001, 20.01) == (2,), "asked after the turn: the version before is wrong"
+    assert answered(19.0, 20.06) == (2,), "longer on its way than any request is"
+
+
 @given(st.lists(st.tuples(st.floats(0.1, 5.0), st.sampled_from([OUT, 1, 2, 3])), min_size=1, max_size=12),
        st.integers(0, 11), st.floats(0.0, 60.0))
 def test_the_answer_holds_what_was_acted_on_or_says_that_it_does_not_know(turns, killed_after, asked):
@@ -186,16 +209,17 @@
             await asyncio.sleep(1.5)
             until = time.monotonic() - 0.8
             spans = await rig.fleet.spans()
+            asked = {ask.txn: ask.sent for ask in rig.seen.asks}
             wrong, unknown, count = [], 0, 0
             for arrival in rig.seen.arrivals:
                 if arrival.at < until:
                     count += 1
-                    answer = at_time(spans, arrival.ingress, moment(arrival.at + offset))
+                    unknown += not at_time(spans, arrival.ingress, moment(arrival.at + offset)).sure
+                    sent = sent_within(asked.get(arrival.txn, 0.0), arrival.at, offset)
+                    answer = at_time(spans, arrival.ingress, sent)
                     version = rig.seen.version(arrival)
-                    if not answer.sure:
-                        unknown += 1
                     if version not in answer.versions and not answer.unknown:
-                        wrong.append((arrival.ingress, version, answer, arrival.at + offset))
+                        wrong.append((arrival.ingress, version, answer, sent))
             assert wrong == [] and count > 800
             assert unknown <= max(3, 0.01 * count), (unknown, count)
             assert faults(rig.seen) == {}
--- a/tests/system/test_contact.py
+++ b/tests/system/test_contact.py
@@ -7,7 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelpoint.standins.core_world import Broken, play
+from fennelpoint.standins.core_machines import Broken
+from fennelpoint.standins.core_world import play
 from fennelpoint.system.actions import Send
 from fennelpoint.system.calls import find
 from fennelpoint.system.roll.contact import DRAIN, FRESH, LAG, Contact
--- /dev/null
+++ b/tests/system/test_directory_decider.py
@@ -0,0 +1,79 @@
+"""Where the directory leads clients: by what is known of the proxies of their region (incident HOME)."""
+
+import pytest
+
+from fennelpoint.system.roll.directory import Directory, homes_by_host
+from fennelpoint.system.roll.membership import Members
+
+TTL = 2.0  # s
+LONG_IN_TOUCH, NOW = 100.0, 200.0  # s
+PLACES = {"fa": "ra", "fb": "rb", "fc": "rc", "fd": "ra"}  # regions by proxy
+
+
+def directory(unready: set[str], homes: list[str], host: str = "h.example") -> Directory:
+    """One that has just heard all proxies, of which some are not ready."""
+    members = Members()
+    for proxy, region in PLACES.items():
+        members.fold(proxy, proxy, f"z{region}", region, 1, proxy not in unready, 3, 0.1, NOW)
+    made = Directory("a1", members, TTL, 0.0)
+    made.homes = {host: frozenset(homes)} if homes else {}
+    return made
+
+
+def named(made: Directory, region: str, host: str = "h.example") -> list[str]:
+    """The proxies that a client of that region is told, by a registry that has long been in touch."""
+    return made.resolve(host, f"z{region}", region, LONG_IN_TOUCH, NOW).addresses
+
+
+@pytest.mark.parametrize("homes, told", [(["ra"], ["fa"]), (["ra", "rb"], ["fa", "fb"])])
+def test_one_proxy_that_is_left_of_a_region_leads_nowhere_but_to_the_homes_of_the_host(
+    homes: list[str], told: list[str]
+) -> None:
+    assert named(directory({"fd"}, homes), "ra") == told
+
+
+def test_one_proxy_that_is_left_comes_with_a_second_one_in_turn_for_a_host_without_homes() -> None:
+    made = directory({"fd"}, [])
+    assert [named(made, "ra") for _ in range(4)] == [["fa", "fc"], ["fa", "fb"]] * 2
+
+
+def test_a_registry_that_has_just_come_in_touch_leads_nobody_to_other_regions() -> None:
+    made = directory({"fa", "fd"}, [])
+    assert made.resolve("h.example", "zra", "ra", None, NOW).addresses == []
+    assert made.resolve("h.example", "zra", "ra", NOW - 1.0, NOW).addresses == []
+    assert named(made, "ra") == ["fb", "fc"]
+
+
+@pytest.mark.parametrize("homes, told", [(["rb"], ["fb"]), (["ra", "rb"], ["fb"]), ([], ["fb", "fc"])])
+def test_a_region_without_proxies_is_led_to_the_homes_of_the_host_if_it_has_any(
+    homes: list[str], told: list[str]
+) -> None:
+    assert named(directory({"fa", "fd"}, homes), "ra") == told
+
+
+@pytest.mark.parametrize("host", ["H.Example", "h.example:8206", "H.EXAMPLE:80"])
+def test_a_host_is_asked_for_in_any_spelling_that_a_request_for_it_may_have(host: str) -> None:
+    """As routes are found: the case plays no part, nor does the port of a `Host` field."""
+    assert named(directory({"fa", "fd"}, ["ra", "rb"]), "ra", host) == ["fb"]
+
+
+def test_homes_of_a_host_that_stands_twice_in_the_table_are_those_of_all_its_routes() -> None:
+    def listener(host: str, *homes: list[str]) -> dict:
+        return {"host": host, "rule_set": [{"route_action": {"home_regions": regions}} for regions in homes]}
+
+    table = [listener("h.example", ["ra", "rb"]), listener("H.example", ["rb", "rc"], []), listener("other", [])]
+    assert homes_by_host({"listener_table": table}) == {"h.example": frozenset(["rb"])}
+
+
+def test_a_registry_whose_state_of_a_proxy_differs_asks_for_the_whole() -> None:
+    """A word that waited seems newer than the one after it, which was dropped; the old state stayed for good."""
+    here, there = Members(), Members()
+    there.fold("fa", "fa", "za", "ra", 1, True, 3, 0.0, NOW, direct=True)
+    whole, brief = there.gossip(NOW, 1.8)
+    assert here.take(whole, brief, 0.0, NOW) == []
+    here.known["fa"].ready = False  # as an old word that was kept has it
+    whole, brief = there.gossip(NOW + 0.6, 1.8)
+    assert whole == [] and here.take(whole, brief, 0.0, NOW + 0.6) == ["fa"]
+    there.tell_again(["fa"])
+    here.take(*there.gossip(NOW + 1.2, 1.8), 0.0, NOW + 1.2)
+    assert here.known["fa"].ready
--- a/tests/system/test_front.py
+++ b/tests/system/test_front.py
@@ -11,7 +11,7 @@
 
 from fennelpoint.standins.process import free_port
 from fennelpoint.system import settings
-from fennelpoint.system.roll.allocator import LIFE
+from fennelpoint.system.roll.grants import LIFE
 from fennelpoint.system.span.events import RetryRule
 from fennelpoint.system.span.program import Program
 
--- a/tests/system/test_hot_day.py
+++ b/tests/system/test_hot_day.py
@@ -7,7 +7,8 @@
 import pytest
 
 from fennelpoint import interface as api
-from fennelpoint.system.roll.allocator import DRAW_LIFE, LIFE, Allocator
+from fennelpoint.system.roll.allocator import Allocator
+from fennelpoint.system.roll.grants import DRAW_LIFE, LIFE
 from fennelpoint.system.span.decider import Decider
 from fennelpoint.system.span.events import BackendPlaces, Catalogue, LeasedShares, UnitsGranted, UnitsNeeded
 
--- a/tests/system/test_incarnations.py
+++ b/tests/system/test_incarnations.py
@@ -10,11 +10,13 @@
 import pytest
 
 from fennelpoint.fleet.register import Cell, Hello, Keeper, handle
-from fennelpoint.standins.core_world import Broken, play
+from fennelpoint.standins.core_machines import Broken
+from fennelpoint.standins.core_world import play
 from fennelpoint.system.incarnation import first_number, same_life
 from fennelpoint.system.roll import desk, duty
-from fennelpoint.system.roll.allocator import LIFE, WHOLE, Allocator
+from fennelpoint.system.roll.allocator import Allocator
 from fennelpoint.system.roll.duty import SPAN, Duty
+from fennelpoint.system.roll.grants import LIFE, WHOLE
 from fennelpoint.system.span import core_session
 from fennelpoint.system.span.core_session import CoreSession, Hold
 from fennelpoint.system.writ import keeper
@@ -102,6 +104,7 @@
     for ip, voter in voters.items():
         late.append((term, first.claims, ip, voter.claimed(term, False, first.claims, 0.2)))
     mine = reborn.due(1.1, 0, True)
+    assert other.due(1.1, 1, True) is None      # it may claim from now on: the second in line, after its turn
     for _, claim, ip, firm in late:
         reborn.voted(mine, claim, ip, firm, "abcde", 1.15)
     now = 0.2 + SPAN + 0.3
--- a/tests/system/test_linearizable.py
+++ b/tests/system/test_linearizable.py
@@ -15,9 +15,10 @@
 from hypothesis import HealthCheck, Phase, given, seed, settings
 from hypothesis import strategies as st
 
-from fennelpoint.standins.core_world import Broken
+from fennelpoint.standins.core_machines import Broken
 from fennelpoint.standins.linearizable import Held, Op, fault, step
-from fennelpoint.standins.operators import Errand, Plan, Trouble, play
+from fennelpoint.standins.operator_plans import Errand, Plan, Trouble
+from fennelpoint.standins.operators import play
 from fennelpoint.system.actions import Send
 from fennelpoint.system.writ import keeper
 from fennelpoint.system.writ.keeper import ROLL, Store
--- a/tests/system/test_many_changes.py
+++ b/tests/system/test_many_changes.py
@@ -10,7 +10,8 @@
 from time import process_time
 
 from fennelpoint.fleet.store import MOST_CONTENTS
-from fennelpoint.standins.core_world import Core, Front, World
+from fennelpoint.standins.core_machines import Core, Front
+from fennelpoint.standins.core_world import World
 from fennelpoint.system.frames import pack
 from fennelpoint.system.mesh import ip_of
 
@@ -68,7 +69,8 @@
         core, newest = self.cores[ip], max(c.store.world.get("rev", -1) for c in self.cores.values() if c.up)
         store, desk = core.store, core.desk
         return (core.up and store.keeper.votes and store.world.get("version") == self.made
-                and desk.world.get("rev", -1) >= newest - 1 and desk.figured == store.world["digest"]
+                and desk.world.get("rev", -1) >= newest - 1
+                and desk.allocation.figures.digest == store.world["digest"]
                 and store.world["digest"] in core.contents)
 
     def back(self, ip: str) -> tuple[float, int]:
--- a/tests/system/test_mesh.py
+++ b/tests/system/test_mesh.py
@@ -1,6 +1,7 @@
 """Held connections between processes, on loopback."""
 
 import asyncio
+import time
 
 from fennelpoint.standins.process import free_port
 from fennelpoint.system.mesh import Mesh, name
@@ -58,3 +59,23 @@
         for mesh in (low, high):
             mesh.close()
     asyncio.run(play())
+
+
+def test_the_end_of_a_peers_process_is_told_by_its_machines_refusal_and_a_silent_one_is_not() -> None:
+    async def play() -> None:
+        (low, high), _ = await meshes()
+        refusals: list[tuple[str, float]] = []
+        low.refused = lambda peer, dialled_at: refusals.append((peer, dialled_at))
+        low.dial({high.me})
+        await until(lambda: low.ways.get(high.me))
+        for wire in list(high.wires):
+            wire.transport.abort()      # the connection breaks, the process lives on
+        await until(lambda: not low.ways.get(high.me))
+        await until(lambda: low.ways.get(high.me))
+        assert refusals == []
+        ended_at = time.monotonic()
+        high.close()
+        await until(lambda: refusals)
+        assert refusals[0][0] == high.me and refusals[0][1] >= ended_at
+        low.close()
+    asyncio.run(play())
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -1,5 +1,6 @@
-"""Parts add up whatever is lost, late or said twice, whoever reckons, and whichever front dies."""
+"""Parts add up whatever is lost, late or said twice, whoever allocates, and whichever front dies."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 import pytest
@@ -13,19 +14,19 @@
     rule,
 )
 
-from fennelpoint.system.incarnation import first_number
+from fennelpoint.system.roll import allocator as allocator_module
 from fennelpoint.system.roll.allocator import (
-    DRAW_LIFE,
     FORGET,
+    GIVEN,
     HOLD,
-    LIFE,
     POOL_BURST,
     POOL_START,
-    WHOLE,
     Allocator,
-    Grant,
+    Front,
 )
-from fennelpoint.system.roll.duty import SPAN, Duty
+from fennelpoint.system.roll.census import Census
+from fennelpoint.system.roll.grants import DRAW_LIFE, LIFE, WHOLE, Grant
+from fennelpoint.system.roll.lent import Thing, most_in_use
 from fennelpoint.system.roll.roster import Roster
 from fennelpoint.system.span.core_session import CoreSession, Units
 from fennelpoint.system.span.placement import SECOND
@@ -156,8 +157,9 @@
         given, denied, soon = drawn
         assert given.get("t2", 0) + denied.get("t2", 0) in (0, units)
         if "t2" in allocator.pools:
-            lent = sum(f.out("quotas", "t2", self.now) for f in allocator.fronts.values())
-            assert allocator.pools["t2"].part <= (WHOLE - lent) / WHOLE + 0.05
+            thing = Thing("quotas", "t2")
+            lent = sum(most_in_use(f.grants, self.now).get(thing, 0) for f in allocator.fronts.values())
+            assert allocator.pools["t2"].part <= max(0, WHOLE - lent) / WHOLE
         front = self.fronts[ip]
         front.out.clear()
         front._on_units("roll@a", self.now + late, front._number(self.now), allocator.term, given, denied, soon)
@@ -221,6 +223,17 @@
         assert sum(p.cold.get("s1", 0) for p in parts) <= 11
         assert sum(p.slack for p in parts) <= WHOLE
 
+    @invariant()
+    def sums_are_those_of_the_grants(self) -> None:
+        """What is kept as a sum is what going through all fronts finds, for every thing and each reckoner."""
+        for one in self.reckoners:
+            counted: Counter[Thing] = Counter()
+            for front in one.allocator.fronts.values():
+                counted.update(most_in_use(front.grants, self.now))
+            for thing in (Thing("quotas", "t1"), Thing("quotas", "t2"), Thing("cold", "s1"), Thing("slack")):
+                assert one.allocator.lent.total(thing, self.now) == counted[thing]
+            assert one.allocator.unknown == {f.ip for f in one.allocator.fronts.values() if not f.known}
+
     @invariant()
     def cold_seconds_hold(self) -> None:
         """Each life of a front may have sent all of its part in one second, whoever has it by now."""
@@ -246,94 +259,6 @@
             assert used <= most(max(2, changes))
 
 
-class Holding(RuleBasedStateMachine):
-    """Five machines that want one duty, with words that are lost or late, and restarts that forget.
-
-    What is on its way outlives its sender and whom it was for.
-    """
-
-    @initialize()
-    def begin(self) -> None:
-        self.now, self.names = 0.0, [f"m{i}" for i in range(5)]
-        self.lives = 5
-        self.all = {n: Duty(n, 0.0, first_number(i)) for i, n in enumerate(self.names)}
-        self.mail: list[tuple] = []
-
-    @rule(who=st.integers(0, 4))
-    def claim(self, who: int) -> None:
-        name = self.names[who]
-        duty = self.all[name]
-        held = duty.holds(self.now)
-        if (term := duty.due(self.now, who, True)) is not None:
-            for other in self.names:
-                self.mail.append(("claim", other, name, term, held, duty.claims))
-        self._tell_left(duty)
-
-    def _tell_left(self, duty: Duty) -> None:
-        if duty.left is not None:
-            duty.released(duty.left, duty.claims, self.now)
-            self.mail += [("released", other, duty.me, duty.left, None, duty.claims) for other in self.names]
-            duty.left = None
-
-    @rule(who=st.integers(0, 4))
-    def resign(self, who: int) -> None:
-        duty = self.all[self.names[who]]
-        duty.resign()
-        self._tell_left(duty)
-
-    @rule(who=st.integers(0, 4), reached=st.sets(st.integers(0, 4), min_size=3), late=st.booleans())
-    def round(self, who: int, reached: set, late: bool) -> None:
-        """A claim that some hear at once, and whose grants come at once or late."""
-        self.claim(who)
-        name = self.names[who]
-        for message in [m for m in self.mail if m[0] == "claim" and m[2] == name]:
-            self.mail.remove(message)
-            _, to, source, term, held, number = message
-            if self.names.index(to) in reached and (
-                    firm := self.all[to].claimed(term, held, number, self.now)) is not None:
-                grant = ("granted", source, to, term, firm, number)
-                self.mail.append(grant) if late else self._granted(grant)
-
-    @precondition(lambda self: self.mail)
-    @rule(which=st.integers(0, 30), back=st.booleans())
-    def deliver(self, which: int, back: bool) -> None:
-        kind, to, source, term, what, number = self.mail.pop(which % len(self.mail))
-        duty = self.all[to]
-        if kind == "claim":
-            if (firm := duty.claimed(term, what, number, self.now)) is not None:
-                message = ("granted", source, to, term, firm, number)
-                self._granted(message) if back else self.mail.append(message)
-        elif kind == "released":
-            duty.released(term, number, self.now)
-        else:
-            self._granted((kind, to, source, term, what, number))
-
-    def _granted(self, message: tuple) -> None:
-        _, to, source, term, firm, number = message
-        self.all[to].voted(term, number, source, firm, self.names, self.now)
-
-    @rule(span=st.sampled_from([0.05, 0.12, 0.3, 0.6, SPAN]))
-    def wait(self, span: float) -> None:
-        self.now += span
-
-    @rule(which=st.sets(st.integers(0, 4), max_size=3))
-    def restart(self, which: set) -> None:
-        for name in (self.names[who] for who in sorted(which)):
-            self.all[name] = Duty(name, self.now + SPAN, first_number(self.lives))
-            self.lives += 1
-
-    @rule()
-    def all_late(self) -> None:
-        """All grants that are on their way come now."""
-        for message in [m for m in self.mail if m[0] == "granted"]:
-            self.mail.remove(message)
-            self._granted(message)
-
-    @invariant()
-    def one_holds(self) -> None:
-        assert sum(d.holds(self.now) for d in self.all.values()) <= 1
-
-
 class Unfenced(Lending):
     """A dismissal that does not look whether its term is over."""
 
@@ -341,8 +266,7 @@
 
 
 Lending.TestCase.settings = settings(max_examples=150, stateful_step_count=40)
-Holding.TestCase.settings = settings(max_examples=150, stateful_step_count=50)
-TestLending, TestHolding = Lending.TestCase, Holding.TestCase
+TestLending = Lending.TestCase
 
 
 def test_what_a_front_held_and_has_lost_is_not_lent_to_it_again_while_one_before_may_lend_it_to_another() -> None:
@@ -392,27 +316,6 @@
     run.adds_up()
 
 
-def test_a_grant_that_comes_late_does_not_count_for_the_claim_after_it() -> None:
-    one, voters = Duty("a", 0.0), ["a", "b", "c"]
-    term = one.due(0.0, 0, True)
-    assert one.due(0.3, 0, True) == term and one.claims == 2     # the first one's grants are still on their way
-    assert any([one.voted(term, 1, ip, True, voters, 0.4) for ip in voters])
-    assert one.holds(0.4) and not one.holds(SPAN - 0.1)     # counted from the first claim
-    one.voted(term, 2, "b", True, voters, 0.5)
-    assert not one.holds(SPAN - 0.1)
-    one.voted(term, 2, "c", True, voters, 0.5)
-    assert one.holds(0.3 + SPAN - 0.2) and not one.holds(0.3 + SPAN)
-
-
-def test_who_renews_is_the_holder_whatever_its_number() -> None:
-    duty = Duty("m", 0.0)
-    duty.claimed((2, "b"), True, 1, 0.0)
-    duty.claimed((1, "a"), True, 1, 0.1)
-    assert duty.holder == (2, "b")      # it was heard just now
-    duty.claimed((1, "a"), True, 2, 0.9)
-    assert duty.holder == (1, "a")
-
-
 def test_a_front_that_told_a_newer_term_takes_no_word_of_those_before() -> None:
     front = CoreSession("f", "za", "ra", {"za": "ra"}, ["a"], {}, 0.0)
     front._on_lend("roll@a", 0.0, front._number(0.0), [1, "a"], 1, [{"t": 100}, {}, 0])
@@ -421,21 +324,6 @@
     assert front.parts.quotas == {"t": 100} and front.holds
 
 
-def test_grants_that_take_longer_than_a_holder_renews_keep_it_all_the_same() -> None:
-    """Seen where all had come back at once: grants were 0.4 s late, and never for the last claim."""
-    duty, mail, now, lost = Duty("a", 0.0), [], 10.0, 0
-    for turn in range(200):
-        now = 10.0 + 0.05 * turn
-        if (term := duty.due(now, 0, True)) is not None:
-            mail.append((now + 0.4, term, duty.claims))
-        for message in [m for m in mail if m[0] <= now]:
-            mail.remove(message)
-            for by in "abc":
-                duty.voted(message[1], message[2], by, True, "abc", now)
-        lost += turn > 40 and not duty.holds(now)
-    assert lost == 0
-
-
 def test_a_grant_that_has_ended_is_not_lent_again_as_it_was() -> None:
     """It is kept for what was sent by its cold rates; some of its quota is another's by now."""
     allocator, now = Allocator([1, "a"], [], 0.0), 20.0
@@ -443,6 +331,56 @@
     for number, (ip, part, slack, ends) in enumerate((("f", 100, 985, now - 0.5), ("g", 905, 0, now + 4.0)), 1):
         front = allocator.fronts[ip]
         front.told, front.life, front.grants = {1}, 1, [Grant(number, {"t1": part}, {}, slack, ends)]
+        allocator.lent.recount(front, now)
     allocator.number = 2
     grant = allocator.want("f", 1, "ra", [[1, "a"], 0], {"t1": 50}, None, {"t1": 20.0}, {}, now)
     assert 0 < grant.quotas["t1"] <= WHOLE - 905
+
+
+def asked_by_all(fronts: int, seconds: float, monkeypatch: pytest.MonkeyPatch) -> tuple[Allocator, list[int]]:
+    """As many fronts ask twice a second each while backends are cold; the sizes of all censuses that were taken."""
+    sizes: list[int] = []
+
+    class Counted(allocator_module.Census):
+        def __init__(self, alive: list, rates: dict, now: float) -> None:
+            super().__init__(alive, rates, now)
+            sizes.append(len(self.alive))
+
+    monkeypatch.setattr(allocator_module, "Census", Counted)
+    allocator, names, now = Allocator([1, "a"], [], 0.0), [f"f{i:03d}" for i in range(fronts)], 20.0
+    allocator.enrol(names, 0.0)
+    rates, cold = {"t1": 9000.0, "t2": 3.0}, {f"s{i}": (500, "ra") for i in range(20)}
+    seen = dict.fromkeys(names, 0)
+    sizes.clear()
+    for ask in range(int(2 * fronts * seconds)):
+        name = names[ask % fronts]
+        grant = allocator.want(name, 1, "ra", [[1, "a"], seen[name]], {"t1": 5}, None, rates, cold, now)
+        seen[name] = grant.number
+        now += 0.5 / fronts
+    return allocator, sizes
+
+
+def test_going_through_all_fronts_costs_no_more_in_a_second_the_more_of_them_ask(monkeypatch) -> None:
+    """Each ask went through all of them, for each tenant and cold backend: n² in a second."""
+    looked = {fronts: sum(asked_by_all(fronts, 2.0, monkeypatch)[1]) for fronts in (50, 100, 200)}
+    assert looked[200] <= 2.5 * looked[50]
+
+
+def test_parts_by_a_census_that_is_a_little_old_add_up_and_leave_nobody_out(monkeypatch) -> None:
+    allocator, _ = asked_by_all(200, 4.0, monkeypatch)
+    now = 24.0
+    newest = [f.grants[-1] for f in allocator.fronts.values()]
+    assert all(g.quotas["t1"] >= 2 and g.slack >= 3 and sum(g.cold.values()) >= 40 for g in newest)
+    assert GIVEN * 0.8 <= sum(g.quotas["t1"] for g in newest) <= GIVEN
+    assert allocator.lent.total(Thing("quotas", "t1"), now) <= GIVEN
+    assert all(allocator.lent.total(Thing("cold", f"s{i}"), now) <= 500 for i in range(20))
+
+
+def test_a_front_that_joins_a_census_is_ranked_in_its_region_and_where_a_region_is_empty() -> None:
+    census = Census([Front("f1", region="ra")], {}, 0.0)
+    assert census.ranks("ra") == {"f1": 0} and census.ranks("rb") == {"f1": 0}
+    census.join(Front("f2", region="ra"))
+    assert census.ranks("ra") == {"f1": 0, "f2": 1} == census.ranks("rb")
+    census.join(Front("f3", region="rb"))
+    assert census.ranks("ra") == {"f1": 0, "f2": 1} and census.ranks("rb") == {"f3": 0}
+    assert len(census) == 3
--- a/tests/system/test_tool.py
+++ b/tests/system/test_tool.py
@@ -31,8 +31,8 @@
 
     def take(asking) -> None:
         world.asked.setdefault("", []).append(asking)   # replies are kept by identity
-        at = next((c for c in world.cores.values() if c.desk.allocator is not None and asking.call.name == "parts"),
-                  world.cores["a1"])
+        leads = (c for c in world.cores.values() if c.desk.allocation.allocator is not None)
+        at = next((c for c in leads if asking.call.name == "parts"), world.cores["a1"])
         world._roll(at, at.desk.call(asking, world.now))
         world.run(world.now + 0.5)
         if (reply := world.replies.get(id(asking))) is not None:
@@ -161,7 +161,7 @@
         world.do(line.split())
     world.put(3, 0, "a1")
     world.run(4.0)
-    (who,) = (ip for ip, core in world.cores.items() if core.desk.allocator is not None)
+    (who,) = (ip for ip, core in world.cores.items() if core.desk.allocation.allocator is not None)
     for ip in world.cores:
         world.call("GET", "/api/parts", None, ip, ip)
         reply = world.replies[id(world.asked[ip][-1])]
