--- a/benchmarks/system_days.py
+++ b/benchmarks/system_days.py
@@ -7,7 +7,7 @@
   system_days.py --help
 
 Arguments:
-  POINT   cut_off, orders, members, storm, answers, mixed, retries or grey.
+  POINT   cut_off, orders, members, storm, answers, mixed, retries, grey, leaving or rolls.
   NUMBER  Number of the day, from 1. It picks the variant (in a cycle, so that as many days as there are variants hold
           each of them) and is the seed of all else: the same point and number always give the same day.
 
@@ -202,6 +202,37 @@
     ])  # fmt: skip
 
 
+def leaving(draw: random.Random, number: int) -> Day:
+    """Clients that leave at any hour, beside slow backends and troubles of proxies, core machines and links."""
+    plan = [
+        entry("config_storm", 4.0, count=draw.choice((60, 120)), gap_s=0.4),
+        entry("roll_term", draw.uniform(20, 35), share=0.3, x=1, gap_s=1.0, how=draw.choice(("", "busy"))),
+    ]
+    slow = draw.choice((2, 4, 8))
+    faults = [
+        entry("give_up", draw.uniform(3, 8), share=draw.choice((0.4, 0.7, 1.0)), x=draw.choice((80, 200, 500)),
+              for_s=45.0),
+        entry("srv_slow", draw.uniform(5, 10), share=draw.choice((0.3, 0.6, 1.0)), x=slow, for_s=20.0),
+        entry("answer_lost", draw.uniform(12, 25), share=0.6, x=0.1, for_s=10.0, how=draw.choice(("", "reset"))),
+        entry("node_freeze", draw.uniform(15, 40), share=0.2, for_s=2.0),
+        entry("node_cut", draw.uniform(15, 40), share=0.2, for_s=5.0, how=draw.choice(("", "all", "servers"))),
+        entry("herd_kill", draw.uniform(40, 45), share=0.4, for_s=1.5),
+    ]  # fmt: skip
+    return {"plan": plan, "faults": faults, "length_s": 60.0}
+
+
+def rolls(draw: random.Random, number: int) -> Day:
+    """A long day of hundreds of changes on which proxies and core machines are restarted by plan again and again."""
+    plan = [
+        entry("config_storm", 3.0, count=draw.choice((200, 300)), gap_s=0.28),
+        *(entry("roll_term", 8.0 + 13.0 * turn, on="front", share=1.0, x=draw.choice((1, 2, 3)), gap_s=1.0)
+          for turn in range(6)),
+        entry("roll_term", draw.uniform(30, 60), on="core", share=1.0, x=1, gap_s=draw.choice((1.0, 4.5))),
+        entry("seed_turnover", draw.uniform(20, 70)),
+    ]  # fmt: skip
+    return {"plan": plan, "faults": [], "length_s": 90.0}
+
+
 def mixed(draw: random.Random, number: int) -> Day:
     """Half of the entries of three other points' days, one on top of the other."""
     parts = [POINTS[name](draw, draw.randint(1, 50)) for name in draw.sample(MIXED, 3)]
@@ -224,6 +255,8 @@
     "mixed": mixed,
     "retries": retries,
     "grey": grey,
+    "leaving": leaving,
+    "rolls": rolls,
 }
 MIXED = ("answers", "cut_off", "members", "orders", "storm")    # what mixed days are drawn from
 
