--- a/tests/system/test_directory_decider.py
+++ b/tests/system/test_directory_decider.py
@@ -77,3 +77,43 @@
     there.tell_again(["fa"])
     here.take(*there.gossip(NOW + 1.2, 1.8), 0.0, NOW + 1.2)
     assert here.known["fa"].ready
+
+
+class Roll:
+    """All proxies of a region are restarted by plan while the directory is asked for a host whose home it is."""
+
+    def __init__(self, homes: list[str]) -> None:
+        self.made = directory(set(), homes)
+
+    def say(self, proxy: str, ready: bool, at: float, life: int = 1) -> None:
+        """One of the proxies asks at that time, and says how it is."""
+        self.made.members.fold(proxy, proxy, f"z{PLACES[proxy]}", PLACES[proxy], life, ready, 3, 0.0, at)
+
+    def told(self, region: str, at: float) -> list[str]:
+        """Whom a client of that region is sent to."""
+        for proxy in set(PLACES) - {"fa", "fd"}:
+            self.say(proxy, True, at)
+        return self.made.resolve("h.example", f"z{region}", region, LONG_IN_TOUCH, at).addresses
+
+
+@pytest.mark.parametrize("region", ["ra", "rb"])
+def test_a_home_whose_proxies_are_all_restarted_by_plan_leads_nobody_beyond_it(region: str) -> None:
+    """They said that they leave, and will be back: those that still serve are named, and nobody for a moment."""
+    roll, own = Roll(["ra"]), ["fb"] if region == "rb" else []
+    for proxy in ("fa", "fd"):
+        roll.say(proxy, False, NOW + 1.0)
+    assert roll.told(region, NOW + 1.5) == (own or ["fa", "fd"])
+    assert roll.told(region, NOW + 4.0) == own
+    for proxy in ("fa", "fd"):
+        roll.say(proxy, False, NOW + 5.0, life=2)
+    assert roll.told(region, NOW + 5.1) == own
+    roll.say("fa", True, NOW + 6.0, life=2)
+    assert roll.told(region, NOW + 6.1) == (own or ["fa"])
+
+
+def test_a_home_that_is_lost_without_a_word_or_does_not_come_back_leads_to_all() -> None:
+    roll = Roll(["ra"])
+    assert roll.told("ra", NOW + 3.0) == ["fb", "fc"]  # they were ready, and are silent
+    for proxy in ("fa", "fd"):
+        roll.say(proxy, False, NOW + 4.0)
+    assert roll.told("ra", NOW + 20.0) == ["fb", "fc"]
