Drawn plans of the fleet wait for the last version to come into force

Change: a play ends once the last version that was published is in force, in 15 s at most, else it fails with how things stand. The test's own numbers are as they were, and it asks for more than before.

--- a/fennelpoint/standins/plans.py
+++ b/fennelpoint/standins/plans.py
@@ -93,24 +93,31 @@
     busy.difference_update(names)
 
 
-async def publish_on(rig: Rig, seconds: float) -> None:
-    """A version after the other, as each comes into force or is given up."""
-    end = time.monotonic() + seconds
+async def publish_on(rig: Rig, seconds: float) -> int:
+    """A version after the other, as each comes into force or is given up; the last that was published, 0: none."""
+    end, last = time.monotonic() + seconds, 0
     while time.monotonic() < end:
         try:
-            await rig.until_forced(await rig.publish(), 6.0)
+            last = await rig.publish()
+            await rig.until_forced(last, 6.0)
         except (CallFailed, TimeoutError):
             await asyncio.sleep(0.3)
+    return last
 
 
 async def play(seed: int, shape: Shape, seconds: float, count: int) -> Rig:
-    """A rig after so many drawn faults under load and versions; everybody was back at its end."""
+    """A rig after so many drawn faults under load and versions.
+
+    Everybody was back at its end, and the last version is in force: it may have waited for those that were away.
+    """
     async with Rig(shape, seed) as rig:
         rig.load(6.0)
         await asyncio.sleep(0.5)
-        await asyncio.gather(carry_out(rig, draw_plan(seed, shape, seconds, count)), publish_on(rig, seconds))
+        plan = draw_plan(seed, shape, seconds, count)
+        _, last = await asyncio.gather(carry_out(rig, plan), publish_on(rig, seconds))
         for name in rig.members:
             await rig.until_ready(name, 15.0)
+        await rig.until_forced(last, 15.0)
         await asyncio.sleep(0.3)
         return rig
 
