Soak: a host with one home, and restarts in order as a reason to stay home

Change: a third host with one home, with as many clients as before in all; a look-up is astray also while a proxy inside is restarted in order, as long as no core machine had any trouble since.

--- a/fennelpoint/standins/soak/play.py
+++ b/fennelpoint/standins/soak/play.py
@@ -24,9 +24,8 @@
 ZONES = {"za": "ra", "zb": "rb", "zc": "rc"}
 CORES = ("core-za", "core-zb", "core-zc")
 FRONTS = ("front-za-1", "front-za-2", "front-zb-1", "front-zb-2", "front-zc-1", "front-zc-2")
-HOST, HOMES_HOST = "bookings.example", "homes.example"
-HOMES = ("ra", "rb")  # of the routes of the second host
-CLIENTS = 3  # of each zone and host
+HOMES = {"bookings.example": (), "homes.example": ("ra", "rb"), "home.example": ("ra",)}  # of hosts' routes
+CLIENTS = 2  # of each zone and host
 PAUSE = 0.12  # s between two requests of a client
 PROBE = 0.1  # s between two looks at the readiness of the fronts, and at our own lateness
 LOST, LEFT = 0.3, 0.8  # share of answers that are lost, and of clients that leave, while that is the trouble
@@ -41,7 +40,7 @@
 
 
 def configuration(version: int, base: int) -> bytes:
-    """The routes of both hosts; only one has homes."""
+    """The routes of all hosts; one has no homes."""
 
     def rules(prefix: str, homes: tuple[str, ...]) -> list[dict]:
         kinds = {"look": "idempotent", "book": "non_idempotent"}
@@ -68,8 +67,8 @@
             "clusters": [{"name": "bookings"}],
             "tenants": [{"name": "agency", "api_keys": [KEY], "rate_per_s": 2000, "burst_size": 2000}],
             "listener_table": [
-                {"host": HOST, "rule_set": rules("", ())},
-                {"host": HOMES_HOST, "rule_set": rules("homes-", HOMES)},
+                {"host": host, "rule_set": rules(f"{host.partition('.')[0]}-", homes)}
+                for host, homes in HOMES.items()
             ],
         }
     ).encode()
@@ -98,7 +97,8 @@
         os.environ[VARIABLE] = ""
         self.site = Site(folder, ZONES, CORES, FRONTS, PROGRAM)
         self.records = Records(
-            CORES, {front: ZONES[self._zone(front)] for front in FRONTS}, {HOMES_HOST: frozenset(HOMES)}
+            CORES, {front: ZONES[self._zone(front)] for front in FRONTS},
+            {host: frozenset(homes) for host, homes in HOMES.items() if homes}
         )  # fmt: skip
         self.weather = Weather()
         self.cores = [self.site.at(core, "control_plane") for core in CORES]
@@ -138,7 +138,7 @@
         await until(self._all_ready, STARTED, "all fronts")
         self._go(self._watch_lag(), *map(self._probe, FRONTS))
         for zone, region in ZONES.items():
-            for host in (HOST, HOMES_HOST) * CLIENTS:
+            for host in [*HOMES] * CLIENTS:
                 client = SoakClient(zone, region, host, self.places, self.records, self.weather)
                 self._go(client.run(PAUSE))
 
@@ -225,6 +225,16 @@
             for span in spans:
                 span.ends = time.monotonic()
 
+    @contextlib.contextmanager
+    def _planned(self, front: str):
+        """A restart in order, from the SIGTERM until the next process has begun."""
+        span = Span(time.monotonic())
+        self.records.planned.setdefault(front, []).append(span)
+        try:
+            yield
+        finally:
+            span.ends = time.monotonic()
+
     async def _kill(self, machine: str, lasts: float) -> None:
         with self._troubled(machine):
             await self.site.kill(machine)
@@ -248,10 +258,12 @@
 
         async def restart(front: str) -> None:
             process = self.site.running.pop((front, "span"), None)
-            if process is not None and process.returncode is None:
+            if process is None or process.returncode is not None:
+                return await self._boot(front)
+            with self._planned(front):
                 process.send_signal(signal.SIGTERM)
                 await asyncio.wait_for(process.wait(), 2 * GRACE)
-            await self._boot(front)
+                await self._boot(front)
 
         async def later(number: int, front: str) -> None:
             await asyncio.sleep(number * lasts / len(fronts))
@@ -299,7 +311,7 @@
         clients = [
             SoakClient(zone, region, host, self.places, self.records, Weather(leaving=0.0))
             for zone, region in ZONES.items()
-            for host in (HOST, HOMES_HOST)
+            for host in HOMES
         ]
 
         async def served() -> bool:
--- a/fennelpoint/standins/soak/records.py
+++ b/fennelpoint/standins/soak/records.py
@@ -74,6 +74,7 @@
     begun: float = 0.0  # when the soak began; what is found is told from there
     said_ready: dict[str, bool] = field(default_factory=dict)  # what it said last
     troubled: dict[str, list[Span]] = field(default_factory=dict)  # by machine
+    planned: dict[str, list[Span]] = field(default_factory=dict)  # restarts in order, by front
     lags: list[Span] = field(default_factory=list)  # when this process itself was late
     logged: list[str] = field(default_factory=list)  # lines that no process may log
 
@@ -133,7 +134,7 @@
         )
 
     def _leads_astray(self, lookup: Lookup) -> bool:
-        """Beyond region and homes, though one inside serves; without homes, though there are enough inside.
+        """Beyond region and homes, though one inside lives; without homes, though there are enough inside.
 
         Where a core machine is in trouble, fronts that ask there may be taken as silent for a moment by the others.
         A host without homes may then be led beyond the region, one with homes may not.
@@ -141,10 +142,20 @@
         homes = self.homes.get(lookup.host, frozenset())
         beyond = any(self.regions[front] not in homes | {lookup.region} for front in lookup.named)
         if homes:
-            return beyond and self._serving_inside(lookup) > 0
+            return beyond and (self._serving_inside(lookup) > 0 or self._restarting(homes | {lookup.region}, lookup))
         calm = all(self._calm(core, lookup.at - READY_FOR, lookup.at) for core in self.cores)
         return beyond and calm and self._serving_inside(lookup) >= ENOUGH
 
+    def _restarting(self, regions: frozenset[str], lookup: Lookup) -> bool:
+        """Whether a front of these is restarted in order, in a time in which no core machine had any trouble."""
+        return any(
+            span.begins + LAG < lookup.at < span.ends - LAG
+            and all(self._calm(machine, span.begins, lookup.at) for machine in (front, *self.cores))
+            for front, spans in self.planned.items()
+            if self.regions[front] in regions
+            for span in spans
+        )
+
     def _served_inside(self, lookup: Lookup) -> bool:
         return self._serving_inside(lookup) > 0
 
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -28,8 +28,10 @@
 
 
 def calm_records() -> Records:
-    """Two fronts of one region and one of another, all ready for long, and nothing wrong."""
-    records = Records(("c1", "c2"), {"f1": "ra", "f2": "ra", "f3": "rb"}, {"homes": frozenset(("ra", "rb"))})
+    """Two fronts of one region and one of each other, all ready for long, and nothing wrong."""
+    records = Records(
+        ("c1", "c2"), {"f1": "ra", "f2": "ra", "f3": "rb", "f4": "rc"}, {"homes": frozenset(("ra", "rb"))}
+    )
     for at in (0.0, 30.0):
         for front in records.regions:
             records.probed(front, True, at)
@@ -53,6 +55,12 @@
     records.lookups[0].named.append("f3")
 
 
+def led_astray_from_a_restart(records: Records) -> None:
+    records.ready.clear()
+    records.planned["f1"] = [Span(18.0, 22.0)]
+    records.lookups = [Lookup(20.0, "c1", "homes", "ra", ["f4"])]
+
+
 def ran_twice(records: Records) -> None:
     records.writes["m1"] += 1
 
@@ -70,7 +78,8 @@
 
 
 @pytest.mark.parametrize(
-    "plant", [worked_on, begun_late, led_astray, ran_twice, lost_a_write, broke_a_promise, logged]
+    "plant",
+    [worked_on, begun_late, led_astray, led_astray_from_a_restart, ran_twice, lost_a_write, broke_a_promise, logged],
 )
 def test_a_planted_fault_is_found_and_calm_records_are_not_wrong(plant) -> None:
     records = calm_records()
@@ -97,6 +106,11 @@
         worked_on(records)
         spare(records)
         assert records.wrong() == [] and records.judged_departures() == []
+    for machine, found in (("f1", 0), ("c2", 0), ("f2", 1)):
+        records = calm_records()
+        led_astray_from_a_restart(records)
+        records.trouble(machine, 18.5).ends = 19.0
+        assert len(records.wrong()) == found
     records = calm_records()
     led_astray(records)
     for front in ("f1", "f2"):  # none of the region has been ready all the time
