A connect given up as it comes up leaves a dead way for good; failing test

Cause, by the new test: a connect whose time is up (or that is cancelled) in the very turn of the loop in which it is made. uvloop closes the transport and never calls connection_lost, so that the mesh keeps a dead way to the peer: each send to it raises, which costs all actions that come after it, and the pings of all wires end. A process that stood still over a connect sees both in one turn.

--- a/tests/system/test_mesh.py
+++ b/tests/system/test_mesh.py
@@ -2,6 +2,10 @@
 
 import asyncio
 import time
+from collections.abc import Callable
+
+import pytest
+import uvloop
 
 from fennelpoint.standins.process import free_port
 from fennelpoint.system.mesh import Mesh, name
@@ -79,3 +83,20 @@
         assert refusals[0][0] == high.me and refusals[0][1] >= ended_at
         low.close()
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("runner", [asyncio.run, uvloop.run], ids=["asyncio", "uvloop"])
+def test_a_connect_that_is_given_up_just_as_it_comes_up_leaves_no_dead_way(runner: Callable) -> None:
+    """Its time may be up in the very turn of the loop in which it is made: a process that stood still sees both."""
+    async def play() -> None:
+        (low, high), _ = await meshes()
+        low.changed = lambda peer, up: low.dialling[peer].cancel() if up else None
+        low.dial({high.me})
+        (dialling,) = low.dialling.values()
+        await asyncio.wait({dialling})
+        await until(lambda: not low.ways and not low.wires)
+        assert not low.send(high.me, ["nobody hears it"])
+        low._ping()
+        for mesh in (low, high):
+            mesh.close()
+    runner(asyncio.wait_for(play(), 5.0))
