A connect that is given up as it comes up ends its connection for all

Cause: create_connection, cancelled in the turn in which the connection is made, closes the transport; uvloop then never calls connection_lost. The mesh kept a dead way to the peer for good, and a request on such a connection to a backend was held until its deadline.

Change: connecting.py ends the protocol that a cancelled connect has made; used by the mesh, connections to backends and the counter.

--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -19,6 +19,7 @@
 import httptools
 
 from fennelpoint.bodies import COMMIT, MOST, STOPPED, WHOLE, Budget, Upload
+from fennelpoint.connecting import connect
 from fennelpoint.interface import BackendState, Roster, RosterKind, Status
 from fennelpoint.net.paced import Paced
 from fennelpoint.notice import complain
@@ -439,8 +440,8 @@
         self._connect(upstream, exchange)
 
     def _connect(self, upstream: Upstream, exchange: Exchange) -> None:
-        task = self.loop.create_task(self.loop.create_connection(
-            lambda: UpstreamConnection(self, upstream, exchange), upstream.host, upstream.port))
+        task = self.loop.create_task(connect(
+            self.loop, lambda: UpstreamConnection(self, upstream, exchange), upstream.host, upstream.port))
         exchange.connecting, self.connecting[task] = task, exchange
         timer = self.loop.call_later(self.connect_timeout, task.cancel)
 
--- a/fennelpoint/net/counter.py
+++ b/fennelpoint/net/counter.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from fennelpoint.connecting import connect
 from fennelpoint.interface import CounterReply, Status
 from fennelpoint.notice import complain
 
@@ -127,8 +128,8 @@
         if time.monotonic() < self.not_before:
             return
         address = (self.host, self.port)
-        task = self.connecting = self.loop.create_task(self.loop.create_connection(
-            lambda: CounterLine(self, address), *address))
+        task = self.connecting = self.loop.create_task(connect(
+            self.loop, lambda: CounterLine(self, address), *address))
         timer = self.loop.call_later(CONNECT_TIMEOUT, task.cancel)
 
         def connected(task: asyncio.Task) -> None:
--- a/fennelpoint/system/mesh.py
+++ b/fennelpoint/system/mesh.py
@@ -13,6 +13,7 @@
 import traceback
 from collections.abc import Callable
 
+from fennelpoint.connecting import connect
 from fennelpoint.system.events import Event, say
 from fennelpoint.system.frames import BadFrame, Unpacker, pack
 
@@ -119,7 +120,7 @@
             wire, dialled_at = Wire(self, peer), time.monotonic()
             try:
                 async with asyncio.timeout(CONNECT):
-                    await self.loop.create_connection(lambda wire=wire: wire, ip, self.port(role))
+                    await connect(self.loop, lambda wire=wire: wire, ip, self.port(role))
             except (OSError, TimeoutError) as error:
                 if isinstance(error, ConnectionRefusedError):
                     self.refused(peer, dialled_at)
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -6,6 +6,7 @@
 import pytest
 
 from fennelpoint.bodies import MOST
+from fennelpoint.net.backends import UpstreamConnection
 from fennelpoint.net.host import LEFT_AT_WORK
 from fennelpoint.net.server import RESET
 from fennelpoint.standins import Backend, Fake, ask, read_message, request, run, until, world
@@ -124,6 +125,27 @@
     run(play())
 
 
+def test_a_connect_that_is_given_up_just_as_it_comes_up_holds_nobody_and_no_place(monkeypatch):
+    """Its time may be up in the very turn in which it is made; uvloop then tells nobody of the connection's end."""
+
+    async def play() -> None:
+        backend = Working()
+        async with world(backend) as made:
+            pool, made_before = made.ingress.backends, UpstreamConnection.connection_made
+
+            def give_up(connection, transport) -> None:
+                made_before(connection, transport)
+                for task in pool.connecting:
+                    task.cancel()
+
+            monkeypatch.setattr(UpstreamConnection, "connection_made", give_up)
+            line, _, _ = await asyncio.wait_for(ask(made, request("book", left=60_000)), 5.0)
+            assert line.split()[1] == "502"  # it may have run
+            assert not pool.all and not pool.connecting and not made.ingress.host.tickets
+
+    run(play())
+
+
 class Loop:
     """A loop whose connections come up when a test says so."""
 
