--- a/benchmarks/retry_budget.py
+++ b/benchmarks/retry_budget.py
@@ -30,7 +30,8 @@
 
 from docopt import docopt
 
-from fennelpoint.standins.retry_world import RetryWorld, drawn
+from fennelpoint.standins.retry_histories import drawn
+from fennelpoint.standins.retry_world import RetryWorld
 from fennelpoint.system.span.decider import Decider
 from fennelpoint.system.span.retry_budget import RetryBudget
 
--- a/fennelpoint/standins/retry_world.py
+++ b/fennelpoint/standins/retry_world.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
-from typing import Any
 
 from fennelpoint import interface as api
 from fennelpoint.standins.retry_rule import RetryCounter
@@ -331,82 +330,3 @@
                     self._at(proxy, delay, lambda t=token: self._tell(proxy, api.TimerDue(t)))
                 case api.Send(request, backend):
                     self._send(proxy, request, backend)
-
-
-Step = tuple[str, Any, Any]  # a method of the world, and what it is called with
-RESTS = (5.0, 30.0, 60.0, 600.0, 3600.0)  # s
-KINDS = (
-    "serve",
-    "serve",
-    "serve",
-    "rest",
-    "fail",
-    "fail",
-    "heal",
-    "kill",
-    "freeze",
-    "thaw",
-    "cut",
-    "join",
-    "term",
-    "route",
-)
-
-
-def draw_step(random: Random) -> Step:
-    """One thing that happens: a method's name here, and its arguments."""
-    kind = random.choice(KINDS)
-    match kind:
-        case "serve":
-            return kind, random.choice((0.5, 1.0, 3.0, 6.0)), random.choice((15.0, 30.0, 60.0))
-        case "rest":
-            return kind, random.choice(RESTS), None
-        case "fail":
-            return kind, random.choice((0.1, 0.5, 1.0)), random.choice(list(FAILURES))
-        case "route":
-            return kind, random.choice(SERVICES), None
-        case _:
-            return kind, random.randrange(100), None
-
-
-def drawn(number: int, decider: type[Decider] = Decider) -> RetryWorld:
-    """The history of that number, played to its end."""
-    random = Random(number)
-    proxies, slack = random.randint(2, 9), random.choice((5.0, 20.0, 60.0))
-    return play(proxies, slack, number, [draw_step(random) for _ in range(random.randint(3, 10))], decider)
-
-
-def play(proxies: int, slack: float, seed: int, steps: list[Step], decider: type[Decider] = Decider) -> RetryWorld:
-    """A history from the start; at its end all backends of both services fail for a while."""
-    world = RetryWorld(proxies, slack, seed, decider)
-    world.serve(6.0, 20.0)
-    for step in steps:
-        _do(world, step)
-    for service in SERVICES:
-        world.fail(service, 1.0)
-    world.serve(4.0, 60.0)
-    return world
-
-
-def _do(world: RetryWorld, step: Step) -> None:
-    kind, first, second = step
-    ips = list(world.proxies)
-    match kind:
-        case "serve":
-            world.serve(first, second)
-        case "rest":
-            world.rest(first)
-        case "fail":
-            for service in SERVICES:
-                world.fail(service, first, second)
-        case "heal":
-            for service in SERVICES:
-                world.fail(service, 0.0)
-        case "kill" | "freeze" | "thaw":
-            getattr(world, kind)(ips[first % len(ips)])
-        case "cut" | "join":
-            world.cut(ips[first % len(ips)], kind == "cut")
-        case "term":
-            world.another_term()
-        case "route":
-            world.move_route(first)
