--- a/fennelpoint/standins/soak/play.py
+++ b/fennelpoint/standins/soak/play.py
@@ -225,6 +225,16 @@
             for span in spans:
                 span.ends = time.monotonic()
 
+    async def _end(self, front: str, process: asyncio.subprocess.Process) -> None:
+        """SIGTERM; one that does not end in time is a fault, and is killed so that the soak goes on."""
+        process.send_signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(process.wait(), 2 * GRACE)
+        except TimeoutError:
+            self.records.logged.append(f"{front} had not ended {2 * GRACE:g} s after SIGTERM")
+            process.kill()
+            await process.wait()
+
     @contextlib.contextmanager
     def _planned(self, front: str):
         """A restart in order, from the SIGTERM until the next process has begun."""
@@ -261,8 +271,7 @@
             if process is None or process.returncode is not None:
                 return await self._boot(front)
             with self._planned(front):
-                process.send_signal(signal.SIGTERM)
-                await asyncio.wait_for(process.wait(), 2 * GRACE)
+                await self._end(front, process)
                 await self._boot(front)
 
         async def later(number: int, front: str) -> None:
