Fronts say why a lease ended: a silent core, or a configuration that did not come

Event 400 always said "no core machine answers". The event now says which, and how old the last answered ask is.

--- a/fennelpoint/system/span/core_session.py
+++ b/fennelpoint/system/span/core_session.py
@@ -261,9 +261,16 @@
             self.out.append(Lend())
         if self.held and now >= self.until:
             self.held = False
-            self.out.append(Hold(False, "no core machine answers"))
+            self.out.append(Hold(False, self._why_lapsed(now)))
         return self._done()
 
+    def _why_lapsed(self, now: float) -> str:
+        """Tells a core that is not heard from one that is, but whose newest configuration did not come."""
+        last = f"the last ask that was answered is {now - self.answered_at:.2f} s old"
+        if self.pending:
+            return f"version {self.version} has not come, {last}"
+        return f"no core machine answers, {last}"
+
     def draw(self, needs: dict[str, int], now: float) -> list:
         """Ask for units of tenants that have no part here."""
         reached = [p for p in (name("roll", ip) for ip in self.order()) if p in self.up]
