--- a/tests/system/test_front.py
+++ b/tests/system/test_front.py
@@ -19,6 +19,7 @@
     {"name": "r", "kind": "non_idempotent", "match_criteria": {"path_prefix": "/r/"},
      "route_action": {"service": "svc", "request_timeout_s": 5, "max_attempts": 2}}]}]}
 CORE = "roll@127.0.0.9"
+LARGE_BODY = bytes(400_000)     # is passed on as it comes
 
 
 class Booking:
@@ -64,10 +65,10 @@
     return program, booking, public, readiness
 
 
-async def post(port: int, id: str, left_ms: int = 4000) -> bytes:
+async def post(port: int, id: str, left_ms: int = 4000, path: str = "/r/1", body: bytes = b"x") -> bytes:
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(f"POST /r/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {id}\r\nX-Deadline-Remaining: {left_ms}\r\n"
-                 f"Content-Length: 1\r\n\r\nx".encode())
+    writer.write(f"POST {path} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {id}\r\nX-Deadline-Remaining: {left_ms}\r\n"
+                 f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.lower().split(b"\r\n")
     length = next(int(line.split(b":")[1]) for line in lines if line.startswith(b"content-length"))
@@ -218,3 +219,41 @@
         program.close()
 
     asyncio.run(asyncio.wait_for(play(), 10.0))
+
+
+def without_lease(program: Program) -> None:
+    """As once the time of its lease is up, before any timer of the front runs."""
+    program.session.until = time.monotonic()
+
+
+# Guards against CONFIG: requests answered by an older version later than `config_apply_s` after its successor's ack.
+def test_a_lease_ends_before_a_change_must_be_in_force() -> None:
+    async def play() -> None:
+        for bound in (2.0, 3.0, 4.0, 9.0):
+            program, _, _, _ = await started(bounds=f"rule_bounds.config_apply_s={bound}\n")
+            asked_by = time.monotonic()
+            assert program.session.allows(asked_by)
+            assert not program.session.allows(asked_by + bound), bound
+            program.close()
+
+    asyncio.run(asyncio.wait_for(play(), 10.0))
+
+
+# Guards against CONFIG: 404, 401 or 413 by a version that may be superseded, from a front that holds no lease.
+def test_a_front_without_a_lease_judges_no_request_by_the_version_that_it_had() -> None:
+    async def play() -> None:
+        program, booking, public, _ = await started()
+        value = deepcopy(CONFIGURATION) | {"version": 7, "base_version": 3}
+        with_keys(value)
+        program.take(CORE, ["lease", program.session._number(time.monotonic()), 2, 7, "e", [], 1])
+        program.take(CORE, ["content", "e", zlib.compress(json.dumps(value).encode())])
+        assert (await post(public, "b1", path="/none/1")).startswith(b"HTTP/1.1 404")
+        assert (await post(public, "b2")).startswith(b"HTTP/1.1 401")
+        without_lease(program)
+        for path, body in (("/none/1", b"x"), ("/r/1", b"x"), ("/none/1", LARGE_BODY), ("/r/1", LARGE_BODY)):
+            answer = await post(public, "b3", path=path, body=body)
+            assert answer.startswith(b"HTTP/1.1 503") and b"retry-after" in answer, (path, len(body), answer)
+        assert not booking.seen
+        program.close()
+
+    asyncio.run(asyncio.wait_for(play(), 10.0))
