CONFIG: a front without a lease judges no request by the version that it had

Cause: the lease was asked only before a request is sent to a backend; 404 and 401 were answered by the version held, however old it was, and 413 in place of both for a body that is passed on as it comes. A request read between a lease's end and the next timer was routed by the old version, and could be sent once the next lease held.

Now SystemReader asks the lease at each decision and answers 503 with Retry-After without one. A large body that the reader answers gets that answer, not 413 (also on the ingress that runs alone).

--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -176,7 +176,7 @@
         except BadRequest as fault:
             return self._fault(fault)
         if not isinstance(asked, Asked):
-            return self._fault(BadRequest("its body is too large", 413))
+            return self._fault(asked)
         upload.add(b"".join(self.body))
         self.body, self.upload = [], upload
         asked.coming = self.pace.expected(now, upload.missing)
@@ -313,7 +313,8 @@
         else:
             self._end()
 
-    def _fault(self, fault: BadRequest) -> None:
+    def _fault(self, fault: BadRequest | Reply) -> None:
+        """End the reading: this is the answer, once those before it are given."""
         if not self.deaf:
             self.deaf = True
             if self.upload is not None and self.open is not None:
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -67,7 +67,7 @@
         self.host.gate = self.allows
         self.host.need = self.need
         self.needs: dict[str, int] = {}         # units to draw, by tenant, with the next word
-        self.reader = SystemReader(self.grown, self.random)
+        self.reader = SystemReader(self.grown, self.random, self.allows)
         self.reader.made.append(given.classes[0])
         grace = bounds.grace_period_s
         self.life = LifeCycle(time.monotonic(), SETTLE * grace, END * grace, min(TAKES_ANY * grace, TAKES_ANY_MOST))
--- a/fennelpoint/system/span/reader.py
+++ b/fennelpoint/system/span/reader.py
@@ -1,6 +1,7 @@
 """What a client's request is by the configuration in force: route, tenant, service, homes; or what it is answered.
 
-One reader for all connections; `take` puts another version in place between any two requests.
+One reader for all connections; `take` puts another version in place between any two requests.  Nothing is decided by
+a version without a lease on it: not even a refusal.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 from fennelpoint.net.backends import HOP_BY_HOP
 from fennelpoint.net.host import Asked
 from fennelpoint.net.reader import BadRequest, Reader, Reply, framing
+from fennelpoint.system.span.brief_waiting import MOST_ADVICE
 from fennelpoint.system.versions import Holder, Route, Version
 
 ID = re.compile(rb"[!-~]{1,128}")
@@ -25,6 +27,7 @@
 KEPT = frozenset((b"x-attempt-id", b"host", b"authorization"))
 SCHEME = b"token "
 PUBLIC = -1         # the customer of requests without a tenant
+RETRY_AFTER = b"%.3f" % MOST_ADVICE     # s, for requests that come while there is no lease
 
 
 @dataclass(slots=True)
@@ -37,9 +40,13 @@
 
 
 class SystemReader(Reader):
-    """Reads requests by a version.  Classes and plans only grow, so that their numbers stay."""
+    """Reads requests by a version.  Classes and plans only grow, so that their numbers stay.
 
-    def __init__(self, grown: Callable[[], None], random: Random) -> None:
+    `leased` tells whether the version is proven now to be the newest, as of a time within the bound of the settings.
+    """
+
+    def __init__(self, grown: Callable[[], None], random: Random, leased: Callable[[], bool]) -> None:
+        self.leased = leased
         self.version: Version | None = None
         self.classes: dict[tuple, int] = {}
         self.made: list[api.RequestClass] = []
@@ -80,14 +87,14 @@
         if ID.fullmatch(txn := found.get(b"x-attempt-id", b"")) is None:
             raise BadRequest("x-attempt-id is not an id")
         if (version := self.version) is None:
-            raise Reply(503, ((b"retry-after", b"0.5"),), b"not ready\n")
+            raise self._not_leased()
         path = url.partition(b"?")[0]
         if not path.startswith(b"/"):
             raise BadRequest("the target is no path")
         bare = method == b"HEAD"
         route = version.find(host.decode("latin-1"), path.decode("latin-1"))
         if route is None:
-            raise Reply(404, body=b"there is no such route\n", bare=bare)
+            raise self._by_version(Reply(404, body=b"there is no such route\n", bare=bare))
         holder = self._holder(version, route, found.get(b"authorization"), bare)
         left = min(self._left(found, route), route.timeout)
         lines = [method + b" " + url + b" HTTP/1.1"]
@@ -102,6 +109,8 @@
         customer = self.plans[holder.name] if holder is not None else PUBLIC
         if holder is not None:
             self.asked[holder.name] = self.asked.get(holder.name, 0) + 1
+        if not self.leased():
+            raise self._not_leased(bare)
         return Passed(txn, self._class(route), customer + 1, customer, left, 1.0, 1.0, 0.0, False, not route.safe,
                       b"\r\n".join(lines) + b"\r\n", body, bare, upload,
                       cell=self._cell(route, holder), attempts=route.attempts)
@@ -111,9 +120,18 @@
         if given is not None and given[:6].lower() == SCHEME:
             holder = version.keys.get(given[6:].strip().decode("latin-1"))
         if holder is None and version.keys and not route.public:
-            raise Reply(401, ((b"www-authenticate", b"Token"),), b"the key is not known\n", bare)
+            raise self._by_version(Reply(401, ((b"www-authenticate", b"Token"),), b"the key is not known\n", bare))
         return holder
 
+    def _by_version(self, reply: Reply) -> Reply:
+        """A refusal by the version that is held here, if that is leased."""
+        return reply if self.leased() else self._not_leased(reply.bare)
+
+    @staticmethod
+    def _not_leased(bare: bool = False) -> Reply:
+        """What a request is told that nothing is decided on: it has not run, and may be sent again."""
+        return Reply(503, ((b"retry-after", RETRY_AFTER),), b"refused: trying again is harmless\n", bare)
+
     def _left(self, found: dict[bytes, bytes], route: Route) -> float:
         given = found.get(b"x-deadline-remaining")
         if given is None:
--- a/tests/system/test_reused_addresses.py
+++ b/tests/system/test_reused_addresses.py
@@ -56,7 +56,7 @@
     def __init__(self, at: tuple[str, int]) -> None:
         self.at = at
         self.pool = SystemBackends(asyncio.get_running_loop(), 10, 0.5, 0.0, Budget(1 << 20))
-        self.reader = SystemReader(lambda: None, Random(1))
+        self.reader = SystemReader(lambda: None, Random(1), lambda: True)
         rules = [
             {"name": service, "kind": "non_idempotent", "target_latency_s": 0.4, "public": True,
              "match_criteria": {"path_prefix": f"/{service}/"},
--- a/tests/system/test_span.py
+++ b/tests/system/test_span.py
@@ -36,7 +36,7 @@
             "route_action": {"request_timeout_s": 1.5, "max_attempts": 2, **act}}
 
 
-def reader(tenants: bool = True) -> SystemReader:
+def reader(tenants: bool = True, leased: bool = True) -> SystemReader:
     split = [{"service": "a", "traffic_weight": 0}, {"service": "b", "traffic_weight": 5}]
     rules = [rule("r1", "/x/", service="a"), rule("r3", "/split/", traffic_split=split),
              rule("r2", "/x/deep/", "non_idempotent", service="b", home_regions=["r1", "r2"]),
@@ -47,7 +47,7 @@
         value["tenants"] = [{"name": "t1", "api_keys": ["k1"], "rate_per_s": 5, "burst_size": 5},
                             {"name": "t2", "api_keys": ["k2"], "home_regions": ["r2", "r3"]},
                             {"name": "t3", "api_keys": ["k3"], "home_regions": ["r3"]}]
-    made = SystemReader(lambda: None, Random(1))
+    made = SystemReader(lambda: None, Random(1), lambda: leased)
     made.take(Version(value))
     return made
 
@@ -79,6 +79,16 @@
     assert told.value.status == status
 
 
+@pytest.mark.parametrize("url, key", [(b"/none/1", b"k1"), (b"/x/1", b""), (b"/x/1", b"k1"), (b"/open/1", b"")])
+def test_without_a_lease_nothing_is_decided_by_the_version_held(url, key) -> None:
+    one = reader(leased=False)
+    with pytest.raises(Reply) as told:
+        read(one, url, key=key)
+    assert told.value.status == 503 and dict(told.value.headers)[b"retry-after"] == b"0.500"
+    known = key and url == b"/x/1"
+    assert one.take_asked() == ({"t1": 1} if known else {})     # demand is told to the core all the same
+
+
 def test_a_public_route_needs_no_key_and_a_doubled_field_is_refused() -> None:
     assert read(reader(), b"/open/1", key=b"").customer == -1
     assert read(reader(tenants=False), b"/x/1", key=b"").customer == -1
