CONFIG: a lease on the newest configuration is as short as the settings' bounds ask

Callers saw 404 by a version that was superseded up to 4.2 s before. Cause: a lease lasted 4.2 s at every deployment, while config_apply_s is 3 s on the small sites and 4 s on the grown ones, and was read into the settings and used nowhere. In the record the 404s come 4.16 s after the acknowledgement.

Now Bounds.lease_s is 2 % under the least of config_apply_s, revocation_s, evacuation_s and drain_deadline_s; bounds that can't be kept are refused at start. Grants keep their life. The invariant DECIDED_BY_THE_NEWEST checks each decision. The rule of the simulated core that no front goes by an older version is held to the same bound, where it allowed 5 s.

--- a/fennelpoint/invariants.py
+++ b/fennelpoint/invariants.py
@@ -22,6 +22,7 @@
         "for a host with homes the directory names a proxy beyond them and the client's region only while "
         "none inside is known to live"
     )
+    DECIDED_BY_THE_NEWEST = "a front decides by what was proven to be the newest within the bounds of the settings"
     COLD_RATES_REST = (
         "an allocator that took over raises no cold rate within a second of the last word of a front on what it held"
     )
--- a/fennelpoint/standins/core_rules.py
+++ b/fennelpoint/standins/core_rules.py
@@ -8,6 +8,7 @@
 from fennelpoint.standins.core_calls import STEP, TENANTS
 from fennelpoint.standins.core_machines import Broken, Core, Front
 from fennelpoint.system.roll.grants import WHOLE
+from fennelpoint.system.settings import Bounds
 from fennelpoint.system.span.placement import SECOND
 from fennelpoint.system.writ import keeper as writ
 from fennelpoint.system.writ.orders import needed
@@ -15,7 +16,6 @@
 COLD_MOST = 12  # tries a second that a cold backend bears
 COLD_WINDOW = 1.0  # s in which they are counted
 OVERLAP_MOST = 0.3  # s that a word of a new term may be on its way to the allocator before
-APPLY_WITHIN = 5.0  # s from an order's acknowledgement to the time when all fronts go by it
 
 
 class Checked(Protocol):
@@ -25,6 +25,7 @@
     cores: dict[str, Core]
     fronts: dict[str, Front]
     acked: dict[int, float]  # versions, and when each was acknowledged
+    bounds: Bounds
 
     def allows(self, front: Front) -> bool:
         """Whether the front may send requests on."""
@@ -110,6 +111,7 @@
         world = self.world
         newest = max(world.acked, default=0)
         for front in world.fronts.values():
-            late = front.version < newest and world.now - world.acked[newest] > APPLY_WITHIN
+            late = front.version < newest and world.now - world.acked[newest] > world.bounds.newest_within_s
             if late and world.allows(front):
-                raise self._broken(f"{front.ip} sends by version {front.version}, 5 s after {newest} was taken")
+                age = world.now - world.acked[newest]
+                raise self._broken(f"{front.ip} goes by {front.version}, {age:.2f} s after {newest} was acked")
--- a/fennelpoint/standins/core_world.py
+++ b/fennelpoint/standins/core_world.py
@@ -39,7 +39,8 @@
 class World(ScenarioLanguage, OutsideCalls):
     """All of it; `at` names what happens, `run` plays on."""
 
-    def __init__(self, seed: int = 1) -> None:
+    def __init__(self, seed: int = 1, bounds: Bounds | None = None) -> None:
+        self.bounds = bounds or Bounds()
         self.random, self.now, self.count = Random(seed), 0.0, 0
         self.cores: dict[str, Core] = {}
         self.fronts: dict[str, Front] = {}
@@ -90,7 +91,7 @@
         about = {"address": f"{ip}:80", "zone": front.zone, "region": front.region,
                  "life": self.random.getrandbits(40)}
         front.session = CoreSession(ip, front.zone, front.region, regions, self.seeds, about, self.now,
-                              asked=lambda: {t: 1 for t, rate in front.asked.items()
+                              self.bounds.lease_s, asked=lambda: {t: 1 for t, rate in front.asked.items()
                                              if self.random.random() < rate * 0.5})
 
     def restart(self, role: str, ip: str, first: bool = False) -> None:
@@ -102,7 +103,7 @@
             core.store = Store(ip, core.zone, regions, self.seeds, keeper, first and ip in self.seeds,
                                core.contents.get, Random(self.random.random()), self.now)
         else:
-            core.desk = Desk(ip, core.zone, core.region, regions, self.seeds, 8200, Bounds(), BEAT,
+            core.desk = Desk(ip, core.zone, core.region, regions, self.seeds, 8200, self.bounds, BEAT,
                              self.random.getrandbits(40), first, self.now)
             core.desk.restore(list(core.rows.values()), self.now)
         self._unlink(name(role, ip))
--- a/fennelpoint/standins/retry_world.py
+++ b/fennelpoint/standins/retry_world.py
@@ -16,7 +16,7 @@
 from fennelpoint.standins.retry_rule import RetryCounter
 from fennelpoint.system.mesh import name
 from fennelpoint.system.roll.allocator import HOLD, Allocator
-from fennelpoint.system.roll.grants import LIFE
+from fennelpoint.system.settings import Bounds
 from fennelpoint.system.span.core_session import CoreSession, Extend, Lend, Send
 from fennelpoint.system.span.decider import Decider
 from fennelpoint.system.span.events import BackendPlaces, Catalogue, LeaseExtended, RetryRule, leased_shares
@@ -288,7 +288,7 @@
             )
 
         def renew() -> None:
-            proxy.lease_until = max(proxy.lease_until, sent + LIFE)
+            proxy.lease_until = max(proxy.lease_until, sent + Bounds().lease_s)
 
         self._at(proxy, 0.02, renew)
         lenders = [term for term in self.terms if self.now <= term.until]
--- a/fennelpoint/system/checks.py
+++ b/fennelpoint/system/checks.py
@@ -8,7 +8,7 @@
 from dataclasses import fields
 from pathlib import Path
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, create_model, field_validator
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, create_model, field_validator, model_validator
 from result import Err, Ok, Result
 
 from fennelpoint.system.failure import Failure
@@ -34,10 +34,19 @@
 def _figures(kind: type) -> type[BaseModel]:
     """A form of the figures that a program knows: each of 0 or more."""
     return create_model(f"{kind.__name__}Form", __base__=_Form, **{
-        f.name: (float, Field(0.0, ge=0)) for f in fields(kind)})
+        f.name: (float, Field(f.default, ge=0)) for f in fields(kind)})
 
 
-LimitsForm, ToleranceForm, BoundsForm = _figures(Limits), _figures(Tolerance), _figures(Bounds)
+LimitsForm, ToleranceForm = _figures(Limits), _figures(Tolerance)
+
+
+class BoundsForm(_figures(Bounds)):
+    """The figures of the rules, which together must be such that they can be kept."""
+
+    @model_validator(mode="after")
+    def _can_be_kept(self) -> BoundsForm:
+        Bounds(**self.model_dump()).check()
+        return self
 
 
 class SettingsForm(_Form):
--- a/fennelpoint/system/roll/allocator.py
+++ b/fennelpoint/system/roll/allocator.py
@@ -15,7 +15,7 @@
 from fennelpoint.invariants import Invariant
 from fennelpoint.system.actions import Violation
 from fennelpoint.system.roll.census import Census
-from fennelpoint.system.roll.grants import COLD_AFTER, LIFE, WHOLE, Grant
+from fennelpoint.system.roll.grants import COLD_AFTER, GRANT_LIFE, WHOLE, Grant
 from fennelpoint.system.roll.lent import SLACK_THING, Lent, Thing, most_in_use
 
 SLACK = 0.4         # s more that it counts here
@@ -111,7 +111,7 @@
 
     def over(self, now: float) -> bool:
         """Whether all that reckoners before us lent has ended."""
-        return now - self.since > HOLD + LIFE + SLACK
+        return now - self.since > HOLD + GRANT_LIFE + SLACK
 
     def settled(self, now: float) -> bool:
         """Whether nothing is lent that we don't know of."""
@@ -144,7 +144,7 @@
                 return None
             if number and not ours:
                 quotas, its_cold, slack, _, left = holds
-                ends = now + min(left, LIFE) + SLACK
+                ends = now + min(left, GRANT_LIFE) + SLACK
                 front.grants.append(Grant(0, dict(quotas), dict(its_cold), slack, ends))
                 # It was told after we began, so what lasts so long outlives the last lending of those before us.
                 front.keeps = left >= HOLD and not front.told
@@ -273,11 +273,11 @@
         slack = min(GIVEN // len(self.census), self._free(SLACK_THING, GIVEN, front, now))
         last = front.grants[-1] if front.grants and now < front.grants[-1].ends else None
         if last is not None and last.number and self._alike(last, quotas, bears, slack):
-            last.ends = now + LIFE + SLACK
+            last.ends = now + GRANT_LIFE + SLACK
             return last
         self._check_cold(front, bears, now)
         self.number += 1
-        made = Grant(self.number, quotas, bears, slack, now + LIFE + SLACK)
+        made = Grant(self.number, quotas, bears, slack, now + GRANT_LIFE + SLACK)
         front.grants.append(made)
         self.lent.recount(front, now)
         return made
--- a/fennelpoint/system/roll/grants.py
+++ b/fennelpoint/system/roll/grants.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-LIFE = 4.2  # s of a lease and of a grant at the front, from the sending of its ask
+GRANT_LIFE = 4.2  # s of a grant at the front, from the sending of its ask
 DRAW_LIFE = 0.5  # s that units of the pool are good at the front, from the sending of its ask
 WHOLE = 1000  # parts of a quota or of the budget's slack
 COLD_AFTER = 1.2  # s more that rates of cold backends count once they are gone: what was sent by them is in the
--- a/fennelpoint/system/settings.py
+++ b/fennelpoint/system/settings.py
@@ -20,6 +20,9 @@
 BOOT = "LARCHWING_BOOT"
 Address = tuple[str, int]
 LISTS = ("served_roles", "seed_nodes", "rule_contracts", "internal_ports")
+KEPT_BY_LEASE = ("config_apply_s", "revocation_s", "evacuation_s", "drain_deadline_s")
+CLOCK_RATES = 0.02      # share by which the steady clocks of two machines may differ in speed
+LEAST_LEASE = 0.8       # s: an ask each half second, the core's pause between two reads, and the way there and back
 
 
 def address(text: str) -> Address:
@@ -79,6 +82,23 @@
     recovery_s: float = 15.0
     ttl_max_s: float = 5.0
 
+    @property
+    def newest_within_s(self) -> float:
+        """Seconds after which nobody may act by what was superseded: the least of the bounds that a lease keeps."""
+        return min(getattr(self, name) for name in KEPT_BY_LEASE)
+
+    @property
+    def lease_s(self) -> float:
+        """Seconds that a front's lease on the newest configuration lasts, from the sending of the ask for it."""
+        return self.newest_within_s * (1.0 - CLOCK_RATES)
+
+    def check(self) -> None:
+        """Raises ValueError for bounds that can't be kept, with the field that is the cause."""
+        if self.lease_s < LEAST_LEASE:
+            name = min(KEPT_BY_LEASE, key=lambda field: getattr(self, field))
+            least = LEAST_LEASE / (1.0 - CLOCK_RATES)
+            raise ValueError(f"{name}: {getattr(self, name):g} s can't be kept, {least:.2f} s is the least")
+
 
 @dataclass(frozen=True, slots=True)
 class Settings:
@@ -185,7 +205,12 @@
                  "seed_nodes"):
         if name not in made:
             raise ValueError(f"{name}: it is missing")
-    return Settings(**made)
+    settings = Settings(**made)
+    try:
+        settings.rule_bounds.check()
+    except ValueError as error:
+        raise ValueError(f"rule_bounds.{error}") from None
+    return settings
 
 
 def read(path: str | None = None) -> Result[Settings, Failure]:
--- a/fennelpoint/system/span/core_session.py
+++ b/fennelpoint/system/span/core_session.py
@@ -12,8 +12,9 @@
 from fennelpoint.system.actions import Send
 from fennelpoint.system.incarnation import first_number
 from fennelpoint.system.mesh import ip_of, name
-from fennelpoint.system.roll.grants import DRAW_LIFE, LIFE
+from fennelpoint.system.roll.grants import DRAW_LIFE, GRANT_LIFE
 from fennelpoint.system.roll.view import Backends, Told
+from fennelpoint.system.settings import Bounds
 from fennelpoint.system.spread import preference
 
 RENEW = 0.5         # s between asks
@@ -88,6 +89,7 @@
     seeds: list[str]
     about: dict             # what each ask tells of us: address, zone, region, life
     born: float
+    lease_s: float = Bounds().lease_s   # that a lease lasts, from the sending of its ask
     backends: Backends = field(default_factory=Backends)
     rev: int = -1
     version: int = 0
@@ -97,6 +99,7 @@
     core_rev: int = -1      # of the value that names them
     applied: str = ""       # digest of the configuration in force here
     goes_by: int = 0        # its version
+    proven_at: float = -1e9     # when the newest ask was sent that proved what is in force here to be the newest
     until: float = 0.0      # end of the lease
     held: bool = False
     ready: bool = False
@@ -122,7 +125,7 @@
     cut: bool = False       # no core machine answers
     numbers: int = 0        # of the newest of our asks and draws
     asks: dict[int, float] = field(default_factory=dict)    # those whose answers count, and when each was sent
-    pending: dict[str, list] = field(default_factory=dict)  # leases that wait for a content: until, by digest
+    pending: dict[str, list[float]] = field(default_factory=dict)   # sendings of asks whose content is awaited
     wanted: str = ""        # the content that was asked for last, and when
     wanted_at: float = -1e9
     out: list = field(default_factory=list)
@@ -132,7 +135,7 @@
 
     def _number(self, now: float) -> int:
         """The number of an ask or a draw that is sent now."""
-        while self.asks and now - next(iter(self.asks.values())) > LIFE:
+        while self.asks and now - next(iter(self.asks.values())) > max(GRANT_LIFE, self.lease_s):
             del self.asks[next(iter(self.asks))]
         self.numbers += 1
         self.asks[self.numbers] = now
@@ -357,11 +360,11 @@
             return
         self.holds = False
         if parts is None:
-            self.parts.until = max(self.parts.until, sent + LIFE)
+            self.parts.until = max(self.parts.until, sent + GRANT_LIFE)
             self.out.append(Extend())
             return
         quotas, cold, slack = parts
-        self.parts = Parts(term, number, quotas, cold, slack, sent + LIFE)
+        self.parts = Parts(term, number, quotas, cold, slack, sent + GRANT_LIFE)
         self.lent = now < self.parts.until
         self.out.append(Lend())
 
@@ -376,7 +379,7 @@
             self.evac = frozenset(evac)
             self.out.append(Refresh())
         if digest and digest != self.applied:
-            self.pending.setdefault(digest, [0.0])
+            self.pending.setdefault(digest, [])
             self._want(now)
 
     def _want(self, now: float) -> None:
@@ -393,9 +396,9 @@
             return
         self.applied, self.goes_by = digest, self.version
         self.out.append(Apply(self.version, data))
-        waits = self.pending.get(digest, [0.0])
+        waits = self.pending.get(digest, [])
         self.pending.clear()
-        self._extend(max(waits), now)
+        self._extend(max(waits, default=self.proven_at), now)
 
     def _on_lease(self, peer: str, now: float, ask: int, rev: int, version: int, digest: str,
                   evac: list, term: int) -> None:
@@ -415,12 +418,14 @@
         if rev > self.rev or not self.digest:
             return
         if self.applied == self.digest:
-            self._extend(sent + LIFE, now)
+            self._extend(sent, now)
         elif rev == self.rev:
-            self.pending.setdefault(self.digest, [0.0]).append(sent + LIFE)
+            self.pending.setdefault(self.digest, []).append(sent)
 
-    def _extend(self, until: float, now: float) -> None:
-        self.until = max(self.until, until)
+    def _extend(self, sent: float, now: float) -> None:
+        """What is in force here was the newest when that ask was sent."""
+        self.proven_at = max(self.proven_at, sent)
+        self.until = max(self.until, self.proven_at + self.lease_s)
         if not self.held and now < self.until and self.lists:
             self.held = self.seen = True
             self.out.append(Hold(True))
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -10,6 +10,7 @@
 from fennelpoint import interface as api
 from fennelpoint.bodies import Budget, budget_of
 from fennelpoint.descriptors import plan
+from fennelpoint.invariants import Invariant, violations
 from fennelpoint.lifecycle import Event as Life
 from fennelpoint.lifecycle import LifeCycle
 from fennelpoint.net.leaving import Leaving
@@ -75,7 +76,7 @@
         about = {"address": ":".join(map(str, listen.public_http)), "zone": settings.availability_zone,
                  "region": settings.region, "life": self.random.getrandbits(40)}
         self.session = CoreSession(settings.ip_address, settings.availability_zone, settings.region, settings.zones,
-                             settings.seeds, about, time.monotonic(), asked=self.reader.take_asked)
+                             settings.seeds, about, time.monotonic(), bounds.lease_s, asked=self.reader.take_asked)
         self.mesh = Mesh(loop, "span", settings.ip_address, settings.internal_ports, self.take, self.linked, AGAIN)
         self.web = Web(loop, self.call)
         self.cut: Cut | None = None     # what admission takes off whom, as last told
@@ -87,7 +88,12 @@
         self.look = Leaving(loop, self.life, self.server, self.host, self._end).look
 
     def allows(self) -> bool:
-        return self.session.allows(time.monotonic())
+        """Whether anything may be decided by the configuration in force: its lease holds."""
+        now = time.monotonic()
+        allowed = self.session.allows(now)
+        if allowed and (age := now - self.session.proven_at) > self.settings.rule_bounds.newest_within_s:
+            violations.record(Invariant.DECIDED_BY_THE_NEWEST, f"proven newest {age:.2f} s ago")
+        return allowed
 
     async def start(self) -> None:
         listen = self.settings.listen_addresses
--- a/tests/system/test_allocator_takeover.py
+++ b/tests/system/test_allocator_takeover.py
@@ -5,7 +5,7 @@
 
 from fennelpoint.invariants import Invariant
 from fennelpoint.system.roll.allocator import Allocator
-from fennelpoint.system.roll.grants import COLD_AFTER, LIFE, Grant
+from fennelpoint.system.roll.grants import COLD_AFTER, GRANT_LIFE, Grant
 
 TERM = [2, "b"]
 HOLDER, OTHER = "f1", "f2"
@@ -32,7 +32,7 @@
 
 def test_a_cold_rate_whose_grant_has_just_ended_is_not_lent_to_another_within_its_second() -> None:
     """The holder's grant of the term before ended at this moment, so that it has nothing to tell of."""
-    now = BEGUN + LIFE
+    now = BEGUN + GRANT_LIFE
     allocator = take_over(now)
     ask(allocator, HOLDER, now)
     assert ask(allocator, OTHER, now).cold == {}
@@ -41,11 +41,11 @@
 def test_a_cold_rate_that_the_term_before_had_lowered_counts_as_it_was_for_its_second() -> None:
     now = BEGUN + COLD_AFTER + 0.1
     allocator = take_over(now)
-    ask(allocator, HOLDER, now, [{}, {"s1": 2}, 0, TERM, LIFE], [[1, "a"], 7])
+    ask(allocator, HOLDER, now, [{}, {"s1": 2}, 0, TERM, GRANT_LIFE], [[1, "a"], 7])
     assert ask(allocator, OTHER, now).cold == {}
 
 
-@given(told=st.floats(0.0, LIFE), later=st.floats(0.0, LIFE))
+@given(told=st.floats(0.0, GRANT_LIFE), later=st.floats(0.0, GRANT_LIFE))
 def test_cold_rates_are_lent_a_second_after_the_last_front_has_told_and_not_before(told: float, later: float) -> None:
     told_at, now = BEGUN + COLD_AFTER + 0.01 + told, BEGUN + COLD_AFTER + 0.01 + told + later
     allocator = take_over(told_at)
@@ -59,7 +59,7 @@
 
 def test_the_invariant_counts_a_cold_rate_that_is_lent_within_a_second_of_the_last_tell() -> None:
     """The fault itself, planted: an allocator that looks only at what is unknown now."""
-    now = BEGUN + LIFE
+    now = BEGUN + GRANT_LIFE
     allocator = take_over(now)
     allocator.settled_for = lambda span, now: allocator.settled(now)
     ask(allocator, HOLDER, now)
--- a/tests/system/test_front.py
+++ b/tests/system/test_front.py
@@ -11,7 +11,7 @@
 
 from fennelpoint.standins.process import free_port
 from fennelpoint.system import settings
-from fennelpoint.system.roll.grants import LIFE
+from fennelpoint.system.roll.grants import GRANT_LIFE
 from fennelpoint.system.span.events import RetryRule
 from fennelpoint.system.span.program import Program
 
@@ -126,7 +126,7 @@
 def test_a_front_whose_lease_ends_refuses_at_once_and_sends_nothing_on() -> None:
     async def play() -> None:
         program, booking, public, readiness = await started()
-        program.session.until = time.monotonic()     # as after 4.2 s without a word
+        program.session.until = time.monotonic()     # as after seconds without a word
         answer = await post(public, "b1")
         assert answer.startswith(b"HTTP/1.1 503") and b"retry-after" in answer
         assert not await ready(readiness) and not booking.seen
@@ -145,7 +145,7 @@
         program.take(CORE, ["lend", session._number(time.monotonic()), *grant])
         assert decider.slack == 100 * 0.9 * 0.5
         first = decider.leased_until
-        assert 0.0 < first - program.host.clock() <= LIFE
+        assert 0.0 < first - program.host.clock() <= GRANT_LIFE
         await asyncio.sleep(0)
         program.take(CORE, ["lend", session._number(time.monotonic() + 0.5), *grant[:2], None])
         assert decider.leased_until - first > 0.4
--- a/tests/system/test_hot_day.py
+++ b/tests/system/test_hot_day.py
@@ -8,7 +8,7 @@
 
 from fennelpoint import interface as api
 from fennelpoint.system.roll.allocator import Allocator
-from fennelpoint.system.roll.grants import DRAW_LIFE, LIFE
+from fennelpoint.system.roll.grants import DRAW_LIFE, GRANT_LIFE
 from fennelpoint.system.span.decider import Decider
 from fennelpoint.system.span.events import BackendPlaces, Catalogue, LeasedShares, UnitsGranted, UnitsNeeded
 
@@ -55,7 +55,7 @@
         grant = self.allocator.want(name, 1, "r", self.seen[name], asked, None, rates, {}, self.now)
         self.later(0.5, self.renew, name)
         if grant is not None:
-            self.later(2 * WAY, self.lend, name, [self.allocator.term, grant.number], grant.quotas, sent + LIFE)
+            self.later(2 * WAY, self.lend, name, [self.allocator.term, grant.number], grant.quotas, sent + GRANT_LIFE)
 
     def lend(self, name: str, seen: list, quotas: dict, until: float) -> None:
         self.seen[name] = seen
--- a/tests/system/test_incarnations.py
+++ b/tests/system/test_incarnations.py
@@ -16,7 +16,7 @@
 from fennelpoint.system.roll import desk, duty
 from fennelpoint.system.roll.allocator import Allocator
 from fennelpoint.system.roll.duty import SPAN, Duty
-from fennelpoint.system.roll.grants import LIFE, WHOLE
+from fennelpoint.system.roll.grants import GRANT_LIFE, WHOLE
 from fennelpoint.system.span import core_session
 from fennelpoint.system.span.core_session import CoreSession, Hold
 from fennelpoint.system.writ import keeper
@@ -179,7 +179,7 @@
     late = allocator.want("f", 1, "ra", [[0, ""], 0], {}, None, {"t": 20.0}, {}, 10.1)
     other = allocator.want("g", 5, "ra", [[2, "b"], 0], {"t": 50}, None, {"t": 20.0}, {}, 10.2)
     assert late is None and (other is None or not other.quotas)
-    held = [{"t": 900}, {}, 0, [2, "b"], LIFE]
+    held = [{"t": 900}, {}, 0, [2, "b"], GRANT_LIFE]
     allocator.want("f", 2, "ra", [[1, "a"], 7], {"t": 1}, held, {"t": 20.0}, {}, 10.3)
     other = allocator.want("g", 5, "ra", [[2, "b"], 0], {"t": 50}, None, {"t": 20.0}, {}, 10.4)
     assert 0 < other.quotas["t"] <= WHOLE - 900
--- /dev/null
+++ b/tests/system/test_lease_bounds.py
@@ -0,0 +1,72 @@
+"""A lease on the newest configuration keeps the bounds of whatever settings a deployment has."""
+
+from dataclasses import asdict
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from fennelpoint.standins.core_world import World
+from fennelpoint.system.checks import check_settings
+from fennelpoint.system.settings import CLOCK_RATES, KEPT_BY_LEASE, LEAST_LEASE, Bounds, read
+
+SITE = (Path(__file__).parent / "scenarios" / "site").read_text()
+TEXT = """node_name=f
+node_role=r
+ip_address=127.0.0.1
+availability_zone=za
+region=ra
+zones.za=ra
+internal_ports=8200,8202
+seed_nodes=127.0.0.9:8200
+"""
+DEPLOYMENTS = st.builds(
+    Bounds,
+    config_apply_s=st.sampled_from([1.0, 2.0, 3.0, 4.0, 9.0]),
+    revocation_s=st.sampled_from([3.0, 5.0, 9.0]),
+    evacuation_s=st.sampled_from([2.5, 5.0]),
+    drain_deadline_s=st.sampled_from([3.0, 4.0]),
+    contact_s=st.sampled_from([4.0, 5.0]),
+    grace_period_s=st.sampled_from([4.0, 6.0, 10.0]),
+)
+
+
+# Guards against answers by an older configuration at deployments with other bounds than the usual.
+@settings(max_examples=12)
+@given(bounds=DEPLOYMENTS, cut_after=st.floats(0.0, 0.5))
+def test_no_front_goes_by_an_older_version_beyond_the_bounds_of_its_deployment(
+    bounds: Bounds, cut_after: float
+) -> None:
+    world = World(1, bounds)
+    for line in SITE.splitlines():
+        world.do(line.split())
+    world.run(2.0)
+    world.do("put 3 on 0 via a1".split())
+    world.run(4.0 + cut_after)
+    assert all(world.allows(front) for front in world.fronts.values())
+    world.do("cut fa from core fb fc".split())
+    world.do("put 5 on 3 via b1 x".split())
+    world.run(world.now + bounds.newest_within_s)
+    assert not world.allows(world.fronts["fa"])
+    assert world.fronts["fa"].version == 3 and world.fronts["fb"].version == 5
+
+
+@pytest.mark.parametrize("name", KEPT_BY_LEASE)
+def test_a_lease_is_shorter_than_each_bound_by_what_clocks_may_differ(name: str) -> None:
+    bounds = Bounds(**asdict(Bounds()) | {name: 2.0})
+    assert bounds.lease_s == pytest.approx(2.0 * (1.0 - CLOCK_RATES))
+
+
+@pytest.mark.parametrize("name", KEPT_BY_LEASE)
+def test_bounds_that_no_lease_can_keep_are_refused_with_file_field_and_reason(tmp_path: Path, name: str) -> None:
+    path = tmp_path / "settings"
+    path.write_text(f"{TEXT}rule_bounds.{name}={LEAST_LEASE}\n")
+    for refused in (read(str(path)), check_settings(str(path))):
+        assert isinstance(refused, Err)
+        line = str(refused.err_value)
+        assert str(path) in line and name in line and "0.8 s can't be kept, 0.82 s is the least" in line
+        assert "\n" not in line
+    path.write_text(f"{TEXT}rule_bounds.{name}=0.9\n")
+    assert isinstance(read(str(path)), Ok) and isinstance(check_settings(str(path)), Ok)
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -25,7 +25,7 @@
     Front,
 )
 from fennelpoint.system.roll.census import Census
-from fennelpoint.system.roll.grants import DRAW_LIFE, LIFE, WHOLE, Grant
+from fennelpoint.system.roll.grants import DRAW_LIFE, GRANT_LIFE, WHOLE, Grant
 from fennelpoint.system.roll.lent import Thing, most_in_use
 from fennelpoint.system.roll.roster import Roster
 from fennelpoint.system.span.core_session import CoreSession, Units
@@ -180,7 +180,7 @@
     def lose(self) -> None:
         self.sent.pop()
 
-    @rule(span=st.sampled_from([0.1, 0.5, 2.0, LIFE, FORGET + 0.1]))
+    @rule(span=st.sampled_from([0.1, 0.5, 2.0, GRANT_LIFE, FORGET + 0.1]))
     def wait(self, span: float) -> None:
         before = [(ip, f.parts.until, f.parts.cold.get("s1", 0)) for ip, f in self.fronts.items()]
         self.now += span
@@ -274,9 +274,9 @@
     run.begin()
     run.exchange({"f1", "f2", "f3"})
     run.ask("f2", {"t1": 27}, False, 0)
-    run.wait(LIFE)
+    run.wait(GRANT_LIFE)
     run.arrive(0, False)        # late: its time is over
-    run.wait(LIFE)
+    run.wait(GRANT_LIFE)
     run.another()
     run.ask("f3", {}, False, 1)        # the one before still lends: all there is
     run.arrive(0, False)
@@ -304,7 +304,7 @@
     run = Lending()
     run.begin()
     run.exchange({"f1", "f2", "f3"})
-    run.wait(LIFE)                      # what they hold has ended
+    run.wait(GRANT_LIFE)                      # what they hold has ended
     run.ask("f1", {"t1": 30}, False, 0)        # its grant comes late
     assert len(run.sent) == 1 and run.sent[0][1][3][0]["t1"] > 300
     run.another()
