CONFIG: fronts turn to core machines that answer, not to the three nearest only

Cause: a front held three core machines chosen by distance alone. With all three on the smaller side of a cut it heard nobody; with the two nearest there it heard the third, whose answers named a configuration that it asked of the two nearest only, however often they said nothing. Fronts that sought help by way of others all began with the same two.

Now CoreChoice (a module of its own) puts machines that answer first, tries further ones while none does, and asks for configurations in turn; each front asks others for help in an order of its own.

--- a/fennelpoint/system/span/core_session.py
+++ b/fennelpoint/system/span/core_session.py
@@ -15,12 +15,12 @@
 from fennelpoint.system.roll.grants import DRAW_LIFE, GRANT_LIFE
 from fennelpoint.system.roll.view import Backends, Told
 from fennelpoint.system.settings import Bounds
+from fennelpoint.system.span.core_choice import CoreChoice
 from fennelpoint.system.spread import preference
 
 RENEW = 0.5         # s between asks
 PATIENCE = 0.4      # s without an answer after which another core machine is asked, too
 CUT, HELPERS = 0.9, 2   # s without an answer after which other fronts are asked to pass words on; how many
-ANSWERS = 1.2       # s without an answer after which the nearest core machine is passed over: two asks
 AGAIN = 0.45        # s after which a content is asked for anew
 NEXT_SEED = 0.15    # s without the core's members after which one more seed is dialled
 
@@ -109,7 +109,6 @@
     holds: bool = False     # whoever reckons has to be told what we hold
     asked: Callable[[], dict[str, int]] = dict    # what was asked here by tenant, since it was last taken
     number: int = 0         # of the list's newest change that was heard
-    leased: dict[str, float] = field(default_factory=dict)  # when each core machine last answered an ask
     lists: set[str] = field(default_factory=set)    # core machines whose whole list came
     up: set[str] = field(default_factory=set)
     others: list[str] = field(default_factory=list)     # fronts that are ready, by IP address
@@ -126,11 +125,14 @@
     numbers: int = 0        # of the newest of our asks and draws
     asks: dict[int, float] = field(default_factory=dict)    # those whose answers count, and when each was sent
     pending: dict[str, list[float]] = field(default_factory=dict)   # sendings of asks whose content is awaited
-    wanted: str = ""        # the content that was asked for last, and when
+    wanted: str = ""        # the content that was asked for last, when, and how often again
     wanted_at: float = -1e9
+    wants: int = 0
     out: list = field(default_factory=list)
+    choice: CoreChoice = field(init=False)
 
     def __post_init__(self) -> None:
+        self.choice = CoreChoice(self.me, self.zone, self.region, self.regions)
         self.numbers = first_number(self.about.get("life", 0))
 
     def _number(self, now: float) -> int:
@@ -143,37 +145,36 @@
 
     # Whom to hear
 
-    def order(self) -> list[str]:
-        """Core machines, the nearest first, equals in an order of our own; the seeds, while nothing is known."""
-        zones = {ip: "" for ip in self.seeds} | self.core
-
-        def far(ip: str) -> tuple:
-            zone = zones[ip]
-            return (zone != self.zone, self.regions.get(zone) != self.region, preference(self.me, ip))
+    @property
+    def _zones(self) -> dict[str, str]:
+        """Zones of the core machines that are known, and of the seeds."""
+        return dict.fromkeys(self.seeds, "") | self.core
 
-        return sorted(zones, key=far)
+    def order(self) -> list[str]:
+        """Core machines, the nearest first; the seeds, while nothing is known."""
+        return self.choice.order(self._zones)
 
     def peers(self, now: float) -> set[str]:
-        """Those to hold connections to: the nearest, and one in each of two other regions.
+        """Those to hold connections to.
 
         While no core machine is known, one seed after the other: hundreds of fronts may start together.
         """
-        order, chosen, regions = self.order(), [], set()
-        if not self.core:
-            tried = 1 + int((now - self.born) / NEXT_SEED)
-            return {name("roll", ip) for ip in order[:tried]} | self.helping()
-        for ip in order:
-            region = self.regions.get(self.core.get(ip, ""), ip)
-            if region not in regions or ip == order[0]:
-                regions.add(region)
-                chosen.append(ip)
-        return {name("roll", ip) for ip in chosen[:3]} | self.helping()
+        if self.core:
+            held = self.choice.held(self._zones)
+        else:
+            held = self.order()[:1 + int((now - self.born) / NEXT_SEED)]
+        return {name("roll", ip) for ip in held} | self.helping()
+
+    def _reached(self, now: float) -> list[str]:
+        """Core machines that are connected, those that answer first."""
+        return [p for p in (name("roll", ip) for ip in self.choice.by_answers(self._zones, now)) if p in self.up]
 
     def helping(self) -> set[str]:
         """Other fronts, while no core machine is heard: some of them may still reach one."""
         if not self.cut or not self.others:
             return set()
-        ring = [ip for ip in self.others if ip != self.me]
+        # A ring of our own: fronts that are cut off together would all ask the same few, or one another.
+        ring = sorted((ip for ip in self.others if ip != self.me), key=lambda ip: preference(self.me, ip))
         return {name("span", ring[(self.turn + i) % len(ring)]) for i in range(min(HELPERS, len(ring)))}
 
     def holding(self, now: float) -> list | None:
@@ -229,7 +230,7 @@
 
     def _on_pass(self, peer: str, now: float, message: list) -> None:
         """Another front asks us to pass a word on: we add no trust, as it carries its own number."""
-        reached = [p for p in (name("roll", ip) for ip in self.order()) if p in self.up]
+        reached = self._reached(now)
         if reached and not self.cut and message[0] in ("front", "ask", "need", "draw"):
             self._send(reached[0], ["pass", ip_of(peer), message])
 
@@ -249,9 +250,12 @@
         if self.helper and now - self.helped_at >= RENEW:
             self.helped_at = now
             self._ask_by_helper(now)
-        reached = [p for p in (name("roll", ip) for ip in self.order()) if p in self.up]
+        if self.core:
+            self.choice.renew(self._zones, {ip_of(peer) for peer in self.up}, now)
+        reached = self._reached(now)
         if now - self.asked_at >= RENEW and reached:
             self._ask(reached[:1], now)
+            self._probe([peer for peer in reached[1:] if self.choice.silent(ip_of(peer), now)], now)
             self.helped = False
         elif not self.helped and len(reached) > 1 and self.answered_at < self.asked_at < now - PATIENCE:
             self.helped = True
@@ -276,13 +280,10 @@
 
     def draw(self, needs: dict[str, int], now: float) -> list:
         """Ask for units of tenants that have no part here."""
-        reached = [p for p in (name("roll", ip) for ip in self.order()) if p in self.up]
         if self.helper and self.cut:
             self._send(self.helper, ["pass", ["draw", self._number(now), needs]])
-        elif reached:
-            # One that is cut off from the others takes our words, and can't hand them on: it answers no asks either.
-            answers = [p for p in reached if now - self.leased.get(p, -1e9) < ANSWERS]
-            self._send((answers or reached)[0], ["draw", self._number(now), needs])
+        elif reached := self._reached(now):
+            self._send(reached[0], ["draw", self._number(now), needs])
         return self._done()
 
     def _on_units(self, peer: str, now: float, number: int, term: list, given: dict, denied: dict,
@@ -293,7 +294,7 @@
 
     def say(self, now: float) -> list:
         """Tell at once that something of ours has changed."""
-        self._ask([p for p in (name("roll", ip) for ip in self.order()) if p in self.up][:2], now)
+        self._ask(self._reached(now)[:2], now)
         return self._done()
 
     def _done(self) -> list:
@@ -308,8 +309,14 @@
             self.asked_at = now
         number, want = self._number(now), self._wants(now)
         for i, peer in enumerate(peers):
+            self.choice.asked(ip_of(peer), now)
             self._send(peer, ["ask", number, self.ready, self.number, want if i == 0 else [], self.goes_by])
 
+    def _probe(self, peers: list[str], now: float) -> None:
+        """Ask silent core machines, too: one that answers again is turned to again."""
+        for peer in peers:
+            self._send(peer, ["ask", self._number(now), self.ready, self.number, [], self.goes_by])
+
     # What is told
 
     def _on_list(self, peer: str, now: float, life: int, number: int, items: list, whole: bool) -> None:
@@ -383,10 +390,12 @@
             self._want(now)
 
     def _want(self, now: float) -> None:
-        """The nearest is asked first, two where that said nothing: versions are the longest of all that is sent."""
-        reached = [p for p in (name("roll", ip) for ip in self.order()) if p in self.up]
-        for peer in reached[:1 if self.wanted != self.digest else 2]:
-            self._send(peer, ["need", self.digest])
+        """One is asked first, then two at a time, all in turn: versions are the longest of all that is sent."""
+        reached = self._reached(now)
+        self.wants = self.wants + 1 if self.wanted == self.digest else 0
+        turn = max(0, self.wants - 1)
+        for place in range(turn, turn + min(2, self.wants + 1, len(reached))):
+            self._send(reached[place % len(reached)], ["need", self.digest])
         self.wanted, self.wanted_at = self.digest, now
         if self.helper:
             self._send(self.helper, ["pass", ["need", self.digest]])
@@ -413,7 +422,8 @@
                 self.out.append(Lend())
         self.answered_at = max(self.answered_at, sent)
         if peer.startswith("roll@"):
-            self.direct_at = self.leased[peer] = now
+            self.direct_at = now
+            self.choice.answered(ip_of(peer), now)
         self._newest(rev, version, digest, evac, now)
         if rev > self.rev or not self.digest:
             return
