--- a/fennelpoint/system/span/core_choice.py
+++ b/fennelpoint/system/span/core_choice.py
@@ -16,6 +16,7 @@
 ANSWERS = 1.2  # s since its last answer in which a machine counts as one that answers: two asks
 NEXT_STAND_IN = 0.35  # s between two further machines that are tried while none answers
 STAND_IN_KEPT = 5.0  # s that a further machine is held once a usual one answers again
+START_GRACE = 1.0  # s more for the first answer: hundreds of fronts may start together
 FORGIVEN = 4.0  # s after which a silent machine that is no longer held is worth another try
 
 
@@ -90,7 +91,7 @@
     def renew(self, zones: dict[str, str], reached: Container[str], now: float) -> None:
         """Take further machines while none answers, and let go of them once the usual ones do."""
         if self.answered_at == -inf:
-            self.answered_at = now
+            self.answered_at = now + START_GRACE
         usual = self.usual(zones)
         for ip in self.held(zones):
             if ip not in reached:
