A large body whose request is answered by the reader leaves its connection open

The rest of the body is read and dropped now, as after any early answer. Test: two such requests on one connection; the second failed before.

--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -175,12 +175,14 @@
             asked = self._read(b"", upload)
         except BadRequest as fault:
             return self._fault(fault)
-        if not isinstance(asked, Asked):
-            return self._fault(asked)
         upload.add(b"".join(self.body))
         self.body, self.upload = [], upload
-        asked.coming = self.pace.expected(now, upload.missing)
-        self.account.flow()
+        if isinstance(asked, Reply):    # the rest of its body is read and dropped
+            upload.drop()
+            self.account.close()
+        else:
+            asked.coming = self.pace.expected(now, upload.missing)
+            self.account.flow()
         self.waiting.append((asked, self.parser.should_keep_alive()))
 
     def _throttle(self, now: float) -> None:
@@ -313,8 +315,7 @@
         else:
             self._end()
 
-    def _fault(self, fault: BadRequest | Reply) -> None:
-        """End the reading: this is the answer, once those before it are given."""
+    def _fault(self, fault: BadRequest) -> None:
         if not self.deaf:
             self.deaf = True
             if self.upload is not None and self.open is not None:
--- a/tests/system/test_front.py
+++ b/tests/system/test_front.py
@@ -257,3 +257,21 @@
         program.close()
 
     asyncio.run(asyncio.wait_for(play(), 10.0))
+
+
+def test_a_large_body_that_is_refused_as_it_comes_leaves_its_connection_to_the_next_request() -> None:
+    async def play() -> None:
+        program, _, public, _ = await started()
+        without_lease(program)
+        reader, writer = await asyncio.open_connection("127.0.0.1", public)
+        for id in ("b1", "b2"):
+            writer.write(f"POST /r/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {id}\r\n"
+                         f"Content-Length: {len(LARGE_BODY)}\r\n\r\n".encode() + LARGE_BODY[:-1])
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 503") and b"connection: close" not in head
+            await reader.readexactly(int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0]))
+            writer.write(LARGE_BODY[-1:])
+        writer.close()
+        program.close()
+
+    asyncio.run(asyncio.wait_for(play(), 10.0))
