--- a/tests/system/test_core_choice.py
+++ b/tests/system/test_core_choice.py
@@ -7,8 +7,8 @@
 from fennelpoint.system.span.core_choice import (
     NEXT_STAND_IN,
     SILENT,
-    START_GRACE,
     STAND_IN_KEPT,
+    START_GRACE,
     USUAL,
     CoreChoice,
 )
