CONFIG: a configuration that does not come is asked of the core machines that named it

After its first ask, which stays with the nearest, a front now turns to those that named the newest revision.

--- a/fennelpoint/system/span/core_session.py
+++ b/fennelpoint/system/span/core_session.py
@@ -128,6 +128,7 @@
     wanted: str = ""        # the content that was asked for last, when, and how often again
     wanted_at: float = -1e9
     wants: int = 0
+    told_by: set[str] = field(default_factory=set)      # who named the newest revision here
     out: list = field(default_factory=list)
     choice: CoreChoice = field(init=False)
 
@@ -376,11 +377,14 @@
         self.out.append(Lend())
 
     def _on_world(self, peer: str, now: float, rev: int, version: int, digest: str, evac: list, _: int) -> None:
-        self._newest(rev, version, digest, evac, now)
+        self._newest(peer, rev, version, digest, evac, now)
 
-    def _newest(self, rev: int, version: int, digest: str, evac: list, now: float) -> None:
+    def _newest(self, peer: str, rev: int, version: int, digest: str, evac: list, now: float) -> None:
+        if rev == self.rev:
+            self.told_by.add(peer)
         if rev <= self.rev:
             return
+        self.told_by = {peer}
         self.rev, self.version, self.digest = rev, version, digest
         if frozenset(evac) != self.evac:
             self.evac = frozenset(evac)
@@ -390,9 +394,11 @@
             self._want(now)
 
     def _want(self, now: float) -> None:
-        """One is asked first, then two at a time, all in turn: versions are the longest of all that is sent."""
+        """The first is asked, then two at a time, in turn, of those that named it: versions are the longest words."""
         reached = self._reached(now)
         self.wants = self.wants + 1 if self.wanted == self.digest else 0
+        if self.wants:  # one that is cut off from the others has not got it, and can't fetch it
+            reached = [peer for peer in reached if peer in self.told_by] or reached
         turn = max(0, self.wants - 1)
         for place in range(turn, turn + min(2, self.wants + 1, len(reached))):
             self._send(reached[place % len(reached)], ["need", self.digest])
@@ -424,7 +430,7 @@
         if peer.startswith("roll@"):
             self.direct_at = now
             self.choice.answered(ip_of(peer), now)
-        self._newest(rev, version, digest, evac, now)
+        self._newest(peer, rev, version, digest, evac, now)
         if rev > self.rev or not self.digest:
             return
         if self.applied == self.digest:
