Soak: changes all the time, and whether fronts go by a version that was superseded

Each version of a soak brings a route and takes an older one off; a client of each front keeps one connection for as long as it holds and asks for routes of newer and older versions. An answer that none of the versions allows which may be in force is wrong. Cuts of a front are from all machines and longer than a lease. Times from SIGTERM to a process's end are told.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -43,7 +43,8 @@
         return False
     print(
         f"seed {result.seed}: {result.served} of {result.requests} served, {result.departures} departures and "
-        f"{result.lookups} look-ups judged, late by {result.lag:.2f} s, {len(result.wrong)} wrong",
+        f"{result.lookups} look-ups judged, {result.version_answers} answers by {result.versions} versions, "
+        f"ended within {result.longest_end:.2f} s, late by {result.lag:.2f} s, {len(result.wrong)} wrong",
         flush=True,
     )
     for wrong in result.wrong:
--- a/fennelpoint/standins/soak/plan.py
+++ b/fennelpoint/standins/soak/plan.py
@@ -16,7 +16,7 @@
 
     KILL_FRONT = "a front is killed, and starts again"
     PAUSE_FRONT = "a front stands still"
-    CUT_FRONT = "a front does not hear the core, nor the core it"
+    CUT_FRONT = "a front and all other machines do not hear each other, for longer than its lease"
     ROLL_FRONTS = "the fronts of a region are restarted in order, one soon after the other"
     KILL_CORE = "a core machine is killed, and starts again"
     PAUSE_CORE = "a core machine stands still"
--- a/fennelpoint/standins/soak/play.py
+++ b/fennelpoint/standins/soak/play.py
@@ -19,7 +19,9 @@
 from fennelpoint.standins.soak.plan import CALM, Entry, Trouble, draw
 from fennelpoint.standins.soak.records import LAG, Records, Span
 from fennelpoint.standins.soak.traffic import SLOWER, Places, SoakBackend, SoakClient, Weather
+from fennelpoint.standins.soak.versions import VersionClient, Versions, routes_of
 from fennelpoint.standins.system_demo import GRACE, KEY, Site, call, until
+from fennelpoint.system.settings import Bounds
 
 ZONES = {"za": "ra", "zb": "rb", "zc": "rc"}
 CORES = ("core-za", "core-zb", "core-zc")
@@ -29,7 +31,9 @@
 PAUSE = 0.12  # s between two requests of a client
 PROBE = 0.1  # s between two looks at the readiness of the fronts, and at our own lateness
 LOST, LEFT = 0.3, 0.8  # share of answers that are lost, and of clients that leave, while that is the trouble
-CHANGE_EVERY = 0.1  # s between two changes
+CHANGE_EVERY = 0.1  # s between two changes while they are the trouble
+CHANGE_USUALLY = 0.7  # s between two changes at other times
+LEASE = Bounds().lease_s  # s that a front which is cut off may still serve: cuts of fronts last longer
 STARTED, HEALED = 30.0, 20.0  # s for all to be up, and to serve again after the last trouble
 SERVED_IN_A_ROW = 20  # requests without a failure after which all is well again
 FORBIDDEN = (" 500 VIOLATED ", " 111 CRASHED ")  # in the log of any process
@@ -40,16 +44,16 @@
 
 
 def configuration(version: int, base: int) -> bytes:
-    """The routes of all hosts; one has no homes."""
+    """The routes of all hosts, of which one has no homes, and those that tell versions apart."""
 
     def rules(prefix: str, homes: tuple[str, ...]) -> list[dict]:
-        kinds = {"look": "idempotent", "book": "non_idempotent"}
+        kinds = {"/look/": "idempotent", "/book/": "non_idempotent"} | dict.fromkeys(routes_of(version), "idempotent")
         return [
             {
-                "name": f"{prefix}{name}",
+                "name": f"{prefix}{path.strip('/')}",
                 "kind": kind,
                 "target_latency_s": 0.5,
-                "match_criteria": {"path_prefix": f"/{name}/"},
+                "match_criteria": {"path_prefix": path},
                 "route_action": {
                     "service": "bookings",
                     "request_timeout_s": 3 + version % 2 / 10,
@@ -57,7 +61,7 @@
                     "home_regions": list(homes),
                 },
             }
-            for name, kind in kinds.items()
+            for path, kind in kinds.items()
         ]
 
     return json.dumps(
@@ -84,6 +88,9 @@
     served: int
     departures: int  # that were judged
     lookups: int  # that were judged
+    version_answers: int  # for routes that one version has
+    versions: int  # that were acknowledged
+    longest_end: float  # s from a SIGTERM to the end of its process
     lag: float  # s that the soak itself was late by in all; what it saw then is not judged
     troubles: list[str] = field(default_factory=list)
 
@@ -112,6 +119,9 @@
         )
         self.cut: dict[str, set[str]] = {machine: set() for machine in (*CORES, *FRONTS)}
         self.version = 0
+        self.versions = Versions(Bounds().newest_within_s)
+        self.changing = asyncio.Lock()
+        self.longest_end = 0.0  # s from a SIGTERM to the end of its process
         self.tasks: list[asyncio.Task] = []
 
     @staticmethod
@@ -136,7 +146,10 @@
         await asyncio.gather(*(backend.start() for backend in self.backends))
         await until(self._change, STARTED, "the first configuration")
         await until(self._all_ready, STARTED, "all fronts")
-        self._go(self._watch_lag(), *map(self._probe, FRONTS))
+        self._go(self._watch_lag(), self._change_usually(), *map(self._probe, FRONTS))
+        for front in FRONTS:
+            asks = VersionClient(front, self.site.at(front, "public_http"), self.versions, lambda: self.version)
+            self._go(asks.run(PAUSE))
         for zone, region in ZONES.items():
             for host in [*HOMES] * CLIENTS:
                 client = SoakClient(zone, region, host, self.places, self.records, self.weather)
@@ -151,12 +164,21 @@
 
     async def _change(self) -> bool:
         """One configuration on top of the newest; whether it was acknowledged."""
-        status = await call(
-            random.choice(self.cores), "PUT", "/api/configuration", configuration(self.version + 1, self.version)
-        )
-        self.version += status == 200
+        async with self.changing:
+            number = self.version + 1
+            self.versions.sent.setdefault(number, time.monotonic())
+            body = configuration(number, self.version)
+            status = await call(random.choice(self.cores), "PUT", "/api/configuration", body)
+            if status == 200:
+                self.versions.acked[number] = time.monotonic()
+                self.version = number
         return status == 200
 
+    async def _change_usually(self) -> None:
+        while True:
+            await asyncio.sleep(CHANGE_USUALLY * random.uniform(0.5, 1.5))
+            await self._change()
+
     async def _is_ready(self, front: str) -> bool:
         return await call(self.site.at(front, "readiness"), "GET", "/api/readiness") == 200
 
@@ -198,7 +220,7 @@
             case Trouble.ROLL_FRONTS:
                 await self._roll([one for one in FRONTS if self._zone(one) == self._zone(front)], lasts)
             case Trouble.CUT_FRONT:
-                await self._cut({front}, set(CORES), lasts)
+                await self._cut({front}, {*CORES, *FRONTS} - {front}, lasts + LEASE)
             case Trouble.CUT_CORE:
                 await self._cut({core}, set(CORES) - {core}, lasts)
             case Trouble.MUTE_CORE:
@@ -228,12 +250,14 @@
     async def _end(self, front: str, process: asyncio.subprocess.Process) -> None:
         """SIGTERM; one that does not end in time is a fault, and is killed so that the soak goes on."""
         process.send_signal(signal.SIGTERM)
+        told = time.monotonic()
         try:
             await asyncio.wait_for(process.wait(), 2 * GRACE)
         except TimeoutError:
             self.records.logged.append(f"{front} had not ended {2 * GRACE:g} s after SIGTERM")
             process.kill()
             await process.wait()
+        self.longest_end = max(self.longest_end, time.monotonic() - told)
 
     @contextlib.contextmanager
     def _planned(self, front: str):
@@ -350,11 +374,14 @@
         answers = self.records.answers
         return Result(
             self.seed,
-            self.records.wrong(),
+            [*self.records.wrong(), *self.versions.wrong()],
             sum(answers.values()),
             answers[200],
             len(self.records.judged_departures()),
             len(self.records.judged_lookups()),
+            len(self.versions.answers),
+            len(self.versions.acked),
+            self.longest_end,
             sum(span.ends - span.begins for span in self.records.lags),
             [f"{entry.trouble.name} {entry.at:g}-{entry.ends:g}" for entry in self.entries],
         )
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -8,6 +8,7 @@
 from fennelpoint.standins.soak.plan import ON_CORE, Trouble, draw
 from fennelpoint.standins.soak.play import play
 from fennelpoint.standins.soak.records import Departure, Lookup, Records, Run, Span
+from fennelpoint.standins.soak.versions import Answer, Versions
 
 SEED, GROUPS = 11, 1  # LEAVING_CLIENTS, ROLL_FRONTS and PAUSE_CORE
 
@@ -16,6 +17,7 @@
     result = asyncio.run(asyncio.wait_for(play(SEED, GROUPS), 90.0))
     assert result.wrong == [], result
     assert result.departures > 5 and result.lookups > 20 and result.served > 0.7 * result.requests, result
+    assert result.versions > 5 and result.version_answers > 100, result
 
 
 def test_a_plan_has_overlapping_troubles_and_one_of_the_core_at_a_time() -> None:
@@ -119,3 +121,26 @@
         for at, ready in ((0.0, True), (18.0, True), (19.0, False), (19.5, True), (30.0, True)):
             records.probed(front, ready, at)
     assert records.wrong() == []
+
+
+@pytest.mark.parametrize(
+    "version, asked, status, found",
+    [
+        (10, 13.1, 404, 1),  # by a version before, too late
+        (10, 12.9, 404, 0),
+        (2, 13.1, 200, 1),  # by a version that was superseded, too late
+        (2, 12.9, 200, 0),
+        (2, 13.1, 404, 0),
+        (10, 13.1, 200, 0),
+        (10, 13.1, 503, 0),
+        (3, 13.1, 404, 1),
+        (3, 20.1, 404, 0),  # a newer one without it was sent, and may be in force
+        (10, 20.1, 404, 1),  # the newer one has it, too
+    ],
+)
+def test_an_answer_by_a_version_that_was_superseded_too_long_ago_is_found(
+    version: int, asked: float, status: int, found: int
+) -> None:
+    versions = Versions(3.0, {9: 1.0, 10: 9.5, 11: 20.0}, {9: 2.0, 10: 10.0})
+    versions.answers.append(Answer("f", version, asked, asked + 0.1, status))
+    assert len(versions.wrong()) == found
