--- a/fennelpoint/standins/soak/versions.py
+++ b/fennelpoint/standins/soak/versions.py
@@ -1,4 +1,4 @@
-"""Whether fronts go by the newest configuration: each version of a soak brings a route, and takes an older one off."""
+"""Whether fronts go by the newest configuration: each version brings a route, and takes an older one off."""
 
 from __future__ import annotations
 
