Credit for retries ends by the rule's window, whatever that is

Now it is good for 0.7 windows: as before at 10 s. Test: windows of 2 to 30 s; those of 2 and 5 failed before.

--- a/fennelpoint/system/span/retry_budget.py
+++ b/fennelpoint/system/span/retry_budget.py
@@ -3,9 +3,9 @@
 The rule: in any window, the retries that backends of a service receive are at most `ratio` times its requests in that
 window or in the one before, whichever holds more, and a fixed slack.  Two sources pay for a retry:
 
-* Each first attempt earns half of the ratio, once, for `CREDIT_LIFE` seconds from when its request came.  Retries of
-  a window are then paid by different requests of that window and of the one before: half of their sum is at most the
-  larger one, however requests move between proxies, and whatever each proxy did before.
+* Each first attempt earns half of the ratio, once, for `CREDIT_WINDOWS` of a window from when its request came.
+  Retries of a window are then paid by different requests of that window and of the one before: half of their sum is
+  at most the larger one, however requests move between proxies, and whatever each proxy did before.
 * This proxy's leased share of the slack fills a bucket.  What is saved and what comes in during a window is together
   the share at most, and what is saved goes with the share: moving shares add nothing.
 
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 
 CREDIT_PART = 0.5  # of the ratio, earned by each first attempt: a window may be paid by the requests of two
-CREDIT_LIFE = 7.0  # s that credit is good; with delays on the way less than the rule's window
+CREDIT_WINDOWS = 0.7  # of the rule's window, that credit is good: with delays on the way less than a window
 CREDIT_SLOT = 0.25  # s of requests whose credit is kept, and expires, together
 BURST_PART = 0.4  # of the slack's share, saved at most; the rest comes in during one window
 ROUNDING = 1e-9
@@ -43,6 +43,11 @@
     saved: float = 0.0  # of the slack
     credits: deque[Credit] = field(default_factory=deque)  # the oldest first
 
+    @property
+    def credit_life(self) -> float:
+        """Seconds that what a request has earned is good."""
+        return CREDIT_WINDOWS * self.window
+
     def earn(self, came_at: float, now: float) -> None:
         """A request that came then is sent for the first time."""
         slot = int(min(came_at, now) // CREDIT_SLOT)
@@ -79,7 +84,7 @@
         self.saved = min(self.saved, BURST_PART * share)
 
     def _update(self, now: float) -> None:
-        oldest = (now - CREDIT_LIFE) // CREDIT_SLOT
+        oldest = (now - self.credit_life) // CREDIT_SLOT
         while self.credits and self.credits[0].slot <= oldest:
             self.credits.popleft()
         rate = (1.0 - BURST_PART) * self.share / self.window
--- a/tests/system/test_retry_budget.py
+++ b/tests/system/test_retry_budget.py
@@ -9,7 +9,7 @@
 from fennelpoint.standins.retry_histories import draw_step, play
 from fennelpoint.standins.retry_rule import RetryCounter
 from fennelpoint.standins.retry_world import RetryWorld
-from fennelpoint.system.span.retry_budget import BURST_PART, CREDIT_LIFE, RetryBudget
+from fennelpoint.system.span.retry_budget import BURST_PART, RetryBudget
 
 STEPS = st.lists(st.integers(0, 1 << 30).map(lambda seed: draw_step(Random(seed))), min_size=3, max_size=10)
 
@@ -134,7 +134,17 @@
         budget.earn(came_at=103.0, now=103.0)
     assert sum(credit.amount for credit in budget.credits) == pytest.approx(4.0)
     budget.spend(103.0)  # of the oldest
-    assert budget.allows(99.9 + CREDIT_LIFE)
-    budget.allows(100.3 + CREDIT_LIFE)
+    assert budget.allows(99.9 + budget.credit_life)
+    budget.allows(100.3 + budget.credit_life)
     assert sum(credit.amount for credit in budget.credits) == pytest.approx(2.0)
-    assert not budget.allows(103.3 + CREDIT_LIFE)
+    assert not budget.allows(103.3 + budget.credit_life)
+
+
+# Guards against retries beyond the rule where its window is another than the usual ten seconds.
+@pytest.mark.parametrize("window", [2.0, 5.0, 10.0, 30.0])
+def test_credit_ends_before_the_rules_window_does(window: float) -> None:
+    budget = RetryBudget(0.2, window, 0.0, 0.0)
+    for _ in range(100):
+        budget.earn(100.0, 100.0)
+    assert budget.allows(100.0 + 0.6 * window)
+    assert not budget.allows(100.0 + 0.9 * window)
