A front's session: its actions and its requests for configurations in modules of their own

ContentRequests decides whom to ask for a configuration that does not come, session_actions.py has what the session has its process do.

--- a/fennelpoint/standins/core_world.py
+++ b/fennelpoint/standins/core_world.py
@@ -20,14 +20,14 @@
 from fennelpoint.standins.core_machines import Backend, Broken, Core, Front
 from fennelpoint.standins.core_rules import CoreRules
 from fennelpoint.standins.scenario_language import ScenarioLanguage
-from fennelpoint.system.actions import Violation
+from fennelpoint.system.actions import Send, Violation
 from fennelpoint.system.frames import Unpacker, pack
 from fennelpoint.system.mesh import ip_of, name
 from fennelpoint.system.roll import desk as roll
 from fennelpoint.system.roll.desk import Desk
 from fennelpoint.system.settings import Bounds
-from fennelpoint.system.span import core_session as span
 from fennelpoint.system.span.core_session import CoreSession
+from fennelpoint.system.span.session_actions import Apply, Hold, Units
 from fennelpoint.system.web import Asking, Reply
 from fennelpoint.system.writ import keeper as writ
 from fennelpoint.system.writ.keeper import Store
@@ -229,17 +229,17 @@
     def _span(self, front: Front, actions: list) -> None:
         for action in actions:
             match action:
-                case span.Send(to, message):
+                case Send(to, message):
                     self.send(name("span", front.ip), to, message)
-                case span.Apply(version, _):
+                case Apply(version, _):
                     if version < front.version:
                         raise Broken(f"{self.now:.2f}: {front.ip} goes back from {front.version} to {version}")
                     front.version = version
-                case span.Units(given, denied, _, until) if self.now <= until:
+                case Units(given, denied, _, until) if self.now <= until:
                     for place, told in enumerate((given, denied)):
                         for tenant, units in told.items():
                             front.drawn.setdefault(tenant, [0, 0])[place] += units
-                case span.Hold(held, _):
+                case Hold(held, _):
                     front.session.ready = held
                     self._span(front, front.session.say(self.now))
 
--- a/fennelpoint/system/span/core_session.py
+++ b/fennelpoint/system/span/core_session.py
@@ -15,69 +15,17 @@
 from fennelpoint.system.roll.grants import DRAW_LIFE, GRANT_LIFE
 from fennelpoint.system.roll.view import Backends, Told
 from fennelpoint.system.settings import Bounds
+from fennelpoint.system.span.content_requests import ContentRequests
 from fennelpoint.system.span.core_choice import CoreChoice
+from fennelpoint.system.span.session_actions import Apply, Extend, Hold, Lend, Parts, Refresh, Units
 from fennelpoint.system.spread import preference
 
 RENEW = 0.5         # s between asks
 PATIENCE = 0.4      # s without an answer after which another core machine is asked, too
 CUT, HELPERS = 0.9, 2   # s without an answer after which other fronts are asked to pass words on; how many
-AGAIN = 0.45        # s after which a content is asked for anew
 NEXT_SEED = 0.15    # s without the core's members after which one more seed is dialled
 
 
-@dataclass(slots=True)
-class Apply:
-    """Go by this configuration from now on."""
-
-    version: int
-    data: bytes
-
-
-@dataclass(slots=True)
-class Refresh:
-    """The list or the evacuated zones have changed."""
-
-
-@dataclass(slots=True)
-class Hold:
-    """Whether there is a lease from now on."""
-
-    held: bool
-    reason: str = ""
-
-
-@dataclass(slots=True)
-class Parts:
-    """What this front may use: thousandths of quotas by tenant and of the budget's slack, tries by cold backend."""
-
-    term: list = field(default_factory=lambda: [0, ""])
-    number: int = 0
-    quotas: dict[str, int] = field(default_factory=dict)
-    cold: dict[str, int] = field(default_factory=dict)
-    slack: int = 0
-    until: float = -1e9
-
-
-@dataclass(slots=True)
-class Lend:
-    """Go by these parts from now on; they are in `CoreSession.parts`."""
-
-
-@dataclass(slots=True)
-class Extend:
-    """The parts in `CoreSession.parts` stay in force for longer, until `CoreSession.parts.until`."""
-
-
-@dataclass(slots=True)
-class Units:
-    """Units of quotas that were drawn, by tenant, good until then; and those that are not there."""
-
-    given: dict[str, int]
-    denied: dict[str, int]
-    soon: list[str]         # of these, tenants that are short for a moment only
-    until: float
-
-
 @dataclass(slots=True)
 class CoreSession:
     """What one front holds."""
@@ -125,10 +73,7 @@
     numbers: int = 0        # of the newest of our asks and draws
     asks: dict[int, float] = field(default_factory=dict)    # those whose answers count, and when each was sent
     pending: dict[str, list[float]] = field(default_factory=dict)   # sendings of asks whose content is awaited
-    wanted: str = ""        # the content that was asked for last, when, and how often again
-    wanted_at: float = -1e9
-    wants: int = 0
-    told_by: set[str] = field(default_factory=set)      # who named the newest revision here
+    requests: ContentRequests = field(default_factory=ContentRequests)
     out: list = field(default_factory=list)
     choice: CoreChoice = field(init=False)
 
@@ -261,7 +206,7 @@
         elif not self.helped and len(reached) > 1 and self.answered_at < self.asked_at < now - PATIENCE:
             self.helped = True
             self._ask(reached[1:], now, again=True)
-        if self.pending and now - self.wanted_at > AGAIN:
+        if self.pending and self.requests.due(now):
             self._want(now)
         if self.lent and now >= self.parts.until:
             self.lent = False
@@ -380,11 +325,10 @@
         self._newest(peer, rev, version, digest, evac, now)
 
     def _newest(self, peer: str, rev: int, version: int, digest: str, evac: list, now: float) -> None:
-        if rev == self.rev:
-            self.told_by.add(peer)
+        if rev >= self.rev:
+            self.requests.named(peer, first=rev > self.rev)
         if rev <= self.rev:
             return
-        self.told_by = {peer}
         self.rev, self.version, self.digest = rev, version, digest
         if frozenset(evac) != self.evac:
             self.evac = frozenset(evac)
@@ -394,15 +338,9 @@
             self._want(now)
 
     def _want(self, now: float) -> None:
-        """The first is asked, then two at a time, in turn, of those that named it: versions are the longest words."""
-        reached = self._reached(now)
-        self.wants = self.wants + 1 if self.wanted == self.digest else 0
-        if self.wants:  # one that is cut off from the others has not got it, and can't fetch it
-            reached = [peer for peer in reached if peer in self.told_by] or reached
-        turn = max(0, self.wants - 1)
-        for place in range(turn, turn + min(2, self.wants + 1, len(reached))):
-            self._send(reached[place % len(reached)], ["need", self.digest])
-        self.wanted, self.wanted_at = self.digest, now
+        """Ask for the newest configuration."""
+        for peer in self.requests.whom(self.digest, self._reached(now), now):
+            self._send(peer, ["need", self.digest])
         if self.helper:
             self._send(self.helper, ["pass", ["need", self.digest]])
 
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -16,13 +16,14 @@
 from fennelpoint.net.leaving import Leaving
 from fennelpoint.net.server import Server
 from fennelpoint.state import Cut
+from fennelpoint.system.actions import Send
 from fennelpoint.system.events import Event, say
 from fennelpoint.system.mesh import Mesh
 from fennelpoint.system.pace import Paced
 from fennelpoint.system.roll.view import DRAINING, GONE
 from fennelpoint.system.settings import Settings, address
 from fennelpoint.system.span.brief_waiting import OVER_ADVICE
-from fennelpoint.system.span.core_session import Apply, CoreSession, Extend, Hold, Lend, Refresh, Send, Units
+from fennelpoint.system.span.core_session import CoreSession
 from fennelpoint.system.span.decider import Decider
 from fennelpoint.system.span.events import (
     BackendPlaces,
@@ -34,6 +35,7 @@
 )
 from fennelpoint.system.span.host import SystemBackends, SystemHost
 from fennelpoint.system.span.reader import SystemReader
+from fennelpoint.system.span.session_actions import Apply, Extend, Hold, Lend, Refresh, Units
 from fennelpoint.system.versions import compile_version
 from fennelpoint.system.web import Asking, Reply, Web
 
--- a/tests/system/test_core_choice.py
+++ b/tests/system/test_core_choice.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from fennelpoint.system.actions import Send
+from fennelpoint.system.span.content_requests import AGAIN
 from fennelpoint.system.span.core_choice import (
     NEXT_STAND_IN,
     SILENT,
@@ -12,7 +13,7 @@
     USUAL,
     CoreChoice,
 )
-from fennelpoint.system.span.core_session import AGAIN, HELPERS, CoreSession
+from fennelpoint.system.span.core_session import HELPERS, CoreSession
 
 REGIONS = {"za": "ra", "zb": "rb", "zc": "rc"}
 CORE = {f"{zone}{number}": zone for zone in REGIONS for number in range(4)}
--- a/tests/system/test_incarnations.py
+++ b/tests/system/test_incarnations.py
@@ -18,7 +18,8 @@
 from fennelpoint.system.roll.duty import SPAN, Duty
 from fennelpoint.system.roll.grants import GRANT_LIFE, WHOLE
 from fennelpoint.system.span import core_session
-from fennelpoint.system.span.core_session import CoreSession, Hold
+from fennelpoint.system.span.core_session import CoreSession
+from fennelpoint.system.span.session_actions import Hold
 from fennelpoint.system.writ import keeper
 from fennelpoint.system.writ.keeper import FOUNDED, KEY, Send, Store
 from fennelpoint.system.writ.world import empty
