--- a/fennelpoint/net/leaving.py
+++ b/fennelpoint/net/leaving.py
@@ -28,15 +28,16 @@
 
     def _look(self) -> None:
         steps = self.life.look(time.monotonic(), len(self.server.connections), self.host.waiting)
+        ends = Step.EXIT in steps
+        self.looking = not self.life.keeps and not ends
+        # What comes next is arranged first: a step that fails must not keep the process from its end.
+        if ends:
+            self.loop.call_later(LOOK, self.ended)      # a turn of the loop more, for the last answers to be written
+        elif self.looking:
+            self.loop.call_later(LOOK, self._look)
         if Step.STOP_ACCEPTING in steps:
             self.server.stop_listening()
         if Step.CLOSE_IDLE in steps:
             self.server.close_idle()
         if Step.FAIL_OPEN in steps:
             self.host.fail_all()
-        if Step.EXIT in steps:
-            # One turn of the loop more, so that the last answers are written.
-            self.loop.call_later(LOOK, self.ended)
-        self.looking = not self.life.keeps and Step.EXIT not in steps
-        if self.looking:
-            self.loop.call_later(LOOK, self._look)
--- a/fennelpoint/system/span/program.py
+++ b/fennelpoint/system/span/program.py
@@ -299,9 +299,9 @@
         if not self.life.ending:
             say(Event.STOP, node=self.settings.node_name)
             self.life.handle(Life.TERM, time.monotonic())
+            self.look()     # first: a word to the core that fails must not keep this process from its end
             self.session.ready = False
             self.carry_out(self.session.say(time.monotonic()))
-            self.look()
 
     def _end(self) -> None:
         if not self.stopped.done():
--- a/tests/system/test_front.py
+++ b/tests/system/test_front.py
@@ -109,6 +109,28 @@
     asyncio.run(asyncio.wait_for(play(), 10.0))
 
 
+# Guards against fronts that are told to end and never do.
+@pytest.mark.parametrize("failing", ["word to the core", "look at idle connections"])
+def test_a_front_told_to_end_does_so_whatever_fails_on_the_way(failing: str) -> None:
+    async def play() -> None:
+        program, _, _, _ = await started()
+
+        def fail(*arguments: object) -> None:
+            raise RuntimeError("a write to a connection that is dead")
+
+        if failing == "word to the core":
+            program.carry_out = fail
+        else:
+            program.server.close_idle = fail
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        asyncio.get_running_loop().call_soon(program.stop)      # as a signal does
+        async with asyncio.timeout(3.0):
+            await program.stopped
+        program.close()
+
+    asyncio.run(asyncio.wait_for(play(), 10.0))
+
+
 def test_a_front_near_its_end_takes_only_what_surely_ends_in_time() -> None:
     async def play() -> None:
         program, booking, public, _ = await started(grace=6.0)
