--- a/benchmarks/system_days.py
+++ b/benchmarks/system_days.py
@@ -7,7 +7,7 @@
   system_days.py --help
 
 Arguments:
-  POINT   cut_off, orders, members, storm, answers, mixed, retries, grey, leaving or rolls.
+  POINT   cut_off, orders, members, storm, answers, mixed, retries, grey, leaving, rolls or split.
   NUMBER  Number of the day, from 1. It picks the variant (in a cycle, so that as many days as there are variants hold
           each of them) and is the seed of all else: the same point and number always give the same day.
 
@@ -41,6 +41,7 @@
     "", "one_way", "seeds", "both", "leader meet", "leader race", "hard", "meet drain", "reset", "refuse",
     "leader reset race", "one_way meet drain", "seeds meet", "both race", "refuse hard drain", "one_way leader race",
 )  # fmt: skip
+SPLITS = ("split", "lure", "relieve", "near")
 CLOSINGS = ("power_off_all", "wipe_after_ack", "kill_all")
 AIMS = ("", "timed", "taken", "aimed")
 CHANGES = ("route", "weights", "timeout", "tenant", "quota", "idle")
@@ -233,6 +234,20 @@
     return {"plan": plan, "faults": [], "length_s": 90.0}
 
 
+def split(draw: random.Random, number: int) -> Day:
+    """Several core machines cut off from the others, twice, for longer than a lease, under a change each 0.4 s."""
+    plan = [
+        entry("config_storm", 1.0, for_s=32.0, gap_s=0.4),
+        entry("scale_in", draw.uniform(6, 20), share=0.14, how=draw.choice(("", "spot"))),
+    ]
+    faults = [
+        entry("core_cut", start + draw.uniform(0, 2), count=draw.choice((3, 4, 5)),
+              for_s=round(draw.uniform(7.0, 9.0), 1), how=SPLITS[(number + turn) % len(SPLITS)])
+        for turn, start in enumerate((4.5, 18.0))
+    ]  # fmt: skip
+    return {"plan": plan, "faults": faults}
+
+
 def mixed(draw: random.Random, number: int) -> Day:
     """Half of the entries of three other points' days, one on top of the other."""
     parts = [POINTS[name](draw, draw.randint(1, 50)) for name in draw.sample(MIXED, 3)]
@@ -257,6 +272,7 @@
     "grey": grey,
     "leaving": leaving,
     "rolls": rolls,
+    "split": split,
 }
 MIXED = ("answers", "cut_off", "members", "orders", "storm")    # what mixed days are drawn from
 
