--- a/review/harness/larch.py
+++ b/review/harness/larch.py
@@ -61,14 +61,9 @@
 
 
 class Deployment:
-    """Core machines and proxies, each an address of 127.0.0.0/8; ports are alike on all machines.
+    """Core machines and proxies, each an address of 127.0.0.0/8; ports are alike on all machines."""
 
-    With a `link_delay_s`, what the machines of one zone send to those of another passes a relay, which delays it by
-    that time each way.  To that end the machines of each zone have internal ports of their own: there they listen
-    themselves, and the relays stand for them at the ports of the other zones.
-    """
-
-    def __init__(self, record: Record, cores: int = 3, proxies: int = 3, link_delay_s: float = 0.0) -> None:
+    def __init__(self, record: Record, cores: int = 3, proxies: int = 3) -> None:
         self.record, self.folder = record, Path(tempfile.mkdtemp(prefix="larchwing-review-"))
         self.roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
         net = f"127.{random.randint(70, 250)}.{random.randint(1, 250)}"
@@ -77,12 +72,9 @@
         self.machines |= {f"front-{i + 1}": (f"{net}.{i + 101}", zones[i % 3]) for i in range(proxies)}
         self.cores = [name for name in self.machines if name.startswith("core")]
         self.proxies = [name for name in self.machines if name.startswith("front")]
-        ports = self._free_ports(4 + 3 * len(zones))
+        ports = self._free_ports(7)
         self.port = dict(zip(("public_http", "readiness", "control_plane", "directory_service"), ports, strict=False))
-        self.link_delay_s = link_delay_s
-        self.internal = {zone: ports[4 + 3 * i:7 + 3 * i] if link_delay_s else ports[4:7]
-                         for i, zone in enumerate(zones)}
-        self.relays: list[asyncio.Server] = []
+        self.internal = ports[4:]
         self.running: dict[tuple[str, str], subprocess.Popen] = {}
 
     def _free_ports(self, count: int) -> list[int]:
@@ -112,7 +104,7 @@
             "node_name": machine, "node_role": role, "machine_class": self.roles[role]["on"],
             "served_roles": ",".join(serves), "ip_address": ip, "availability_zone": zone, "region": ZONES[zone],
             **{f"zones.{z}": region for z, region in ZONES.items()},
-            "internal_ports": f"{self.internal[zone][0]},{self.internal[zone][-1]}",
+            "internal_ports": f"{self.internal[0]},{self.internal[-1]}",
             "seed_nodes": ",".join("%s:%d" % self.address(core, "control_plane") for core in self.cores[:3]),  # noqa: UP031
             "first_start": str(first).lower(), "loss_counted": str(machine in self.cores).lower(),
             "limits.cpu_share": 0.86, "limits.cpu_cores": 1, "limits.memory_mb": 300,
@@ -168,8 +160,6 @@
 
     async def start_all(self, configuration: dict) -> Operator:
         """Start every machine, agree on the first configuration and wait until all proxies are ready."""
-        if self.link_delay_s:
-            await self._start_relays()
         for machine in self.machines:
             self.start(machine, first=True)
         operator = Operator(self)
@@ -177,16 +167,6 @@
         await self.until_ready(self.proxies)
         return operator
 
-    async def _start_relays(self) -> None:
-        """Stand for each machine at the internal ports of the other zones."""
-        for machine, (ip, own_zone) in self.machines.items():
-            for zone, ports in self.internal.items():
-                for port, own_port in zip(ports, self.internal[own_zone], strict=True):
-                    if zone != own_zone and (port != ports[2]) == (machine in self.cores):
-                        self.relays.append(await asyncio.start_server(
-                            lambda reader, writer, to=(ip, own_port): relay(reader, writer, to, self.link_delay_s),
-                            ip, port))
-
     async def until_ready(self, proxies: list[str], within_s: float = 25.0) -> None:
         ends_at = time.monotonic() + within_s
         for proxy in proxies:
@@ -198,8 +178,6 @@
 
     def close(self) -> None:
         """End every process that was started, and remove the temporary folder."""
-        for server in self.relays:
-            server.close()
         for process in self.running.values():
             if process.poll() is None:
                 process.kill()
@@ -209,46 +187,6 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, to: tuple[str, int],
-                delay_s: float) -> None:
-    """Pass the bytes of a connection on, in both directions, each piece `delay_s` after it came."""
-    try:
-        far_reader, far_writer = await asyncio.open_connection(*to)
-    except OSError:
-        return writer.transport.abort()
-
-    async def pass_on(source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
-        pieces: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue()
-
-        async def write() -> None:
-            while True:
-                at, piece = await pieces.get()
-                await asyncio.sleep(at + delay_s - time.monotonic())
-                if not piece:
-                    return
-                sink.write(piece)
-                await sink.drain()
-
-        writing = asyncio.create_task(write())
-        with contextlib.suppress(OSError):
-            while piece := await source.read(65536):
-                pieces.put_nowait((time.monotonic(), piece))
-        pieces.put_nowait((time.monotonic(), b""))
-        try:
-            await writing
-        except OSError:
-            pass
-        finally:
-            writing.cancel()
-
-    directions = [asyncio.create_task(pass_on(reader, far_writer)), asyncio.create_task(pass_on(far_reader, writer))]
-    await asyncio.wait(directions, return_when=asyncio.FIRST_COMPLETED)     # these peers close both sides at once
-    for end in (writer, far_writer):
-        end.transport.abort()
-    for direction in directions:
-        direction.cancel()
-
-
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
     """The first line of a message and its header fields, names in lower case."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
