testing: one stand-in that starts a proxy's program beside backends

Need: the tests that follow start a proxy with backends of their own; the code that did so stood in one test file.

--- a/tests/system/test_proxy_process.py
+++ b/tests/system/test_proxy_process.py
@@ -9,16 +9,11 @@
 
 import pytest
 
-from fennelpoint.system import settings
 from fennelpoint.system.proxy.events import RetryRule
 from fennelpoint.system.proxy.program import Program
 from fennelpoint.system.registry.grants import GRANT_TTL_S
-from fennelpoint.testing.process import free_port
+from fennelpoint.testing.proxy_program import CONFIGURATION, CORE, settings_of, start_proxy
 
-CONFIGURATION = {"version": 3, "clusters": [{"name": "svc"}], "listener_table": [{"host": "h", "rule_set": [
-    {"name": "r", "kind": "non_idempotent", "match_criteria": {"path_prefix": "/r/"},
-     "route_action": {"service": "svc", "request_timeout_s": 5, "max_attempts": 2}}]}]}
-CORE = "roll@127.0.0.9"
 LARGE_BODY = bytes(400_000)     # large enough to be streamed
 
 
@@ -39,30 +34,11 @@
                      f"Content-Length: 6\r\n\r\nbooked".encode())
 
 
-def settings_of(public: int, readiness: int, grace: float = 1.0, bounds: str = "",
-                seed: str = "127.0.0.9:8200") -> settings.Settings:
-    inner = free_port()
-    return settings.build(settings.parse(
-        f"node_name=f\nnode_role=r\nip_address=127.0.0.1\navailability_zone=za\nregion=ra\nzones.za=ra\n"
-        f"internal_ports={inner},{inner + 5}\nseed_nodes={seed}\n"
-        f"listen_addresses.public_http=127.0.0.1:{public}\n"
-        f"listen_addresses.readiness=127.0.0.1:{readiness}\nrule_bounds.grace_period_s={grace}\n{bounds}"))
-
-
 async def started(grace: float = 1.0, bounds: str = "") -> tuple[Program, Booking, int, int]:
     """A proxy with a lease, its backend, and its ports for clients and for readiness."""
-    public, readiness = free_port(), free_port()
-    program = Program(asyncio.get_running_loop(), settings_of(public, readiness, grace, bounds))
-    await program.start()
     booking = Booking()
-    server = await asyncio.start_server(booking.serve, "127.0.0.1", 0)
-    backend_address = server.sockets[0].getsockname()
-    data = zlib.compress(json.dumps(CONFIGURATION).encode())
-    backend = ["i-1", f"{backend_address[0]}:{backend_address[1]}", "svc", "za", 2, "v1", "ready", 1, 0.0, 0.0, False]
-    program.handle_message(CORE, ["list", 1, 1, [backend], True])
-    program.handle_message(CORE, ["lease", program.session._next_request_number(time.monotonic()), 1, 3, "d", [], 1])
-    program.handle_message(CORE, ["content", "d", data])
-    return program, booking, public, readiness
+    proxy = await start_proxy(booking.serve, grace=grace, bounds=bounds)
+    return proxy.program, booking, proxy.public, proxy.readiness
 
 
 async def post(port: int, attempt_id: str, left_ms: int = 4000, path: str = "/r/1", body: bytes = b"x") -> bytes:
