proxy: a write that a backend got in part is not promised to be unexecuted

Cause: `give_up` and `connection_lost` of net/backends.py took a request that was not written whole for one that cannot have run (CONNECT_FAILED or MOOT). The protocol of the ingress that runs alone says so ("a backend begins a request when its last byte has come", "never"); the system's doesn't: "a request that was sent may have run", once a backend has begun to work on it, unless its answer says otherwise. Change: `Backends.STARTS_AT_LAST_BYTE` says what the protocol of the pool's backends proves; for the system's, whatever was written may have run. The outcome is then RESET, TIMEOUT or CANCELLED, which promise nothing: the decision module answers a write with 502 and sends it nowhere else. An attempt that was cancelled while it waited for the client's body counts with a latency of 0, so that a slow client doesn't make its backend look slow. Why it works: no outcome in `Status.never_ran` is left that rests on how much was written; those that are left rest on nothing having been written at all, or on the backend's own word (X-Not-Executed, 421).

--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -81,6 +81,11 @@
         self.connect_task: asyncio.Task | None = None
         self.ended = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the backend may have begun to work on the request, by what has been written until now."""
+        return self.connection is not None and self.connection.may_have_run
+
     def end(self, status: Status, response: Response | None = None) -> None:
         """Report the outcome, unless the exchange has ended already."""
         if not self.ended:
@@ -96,13 +101,13 @@
     def give_up(self, status: Status) -> None:
         """Stop waiting: close the connection, so that the backend notices and no late response is read.
 
-        A request that was not written completely cannot have run, whatever the reason for stopping; and if it is
-        cancelled, that is no failure of the backend.
+        A request that cannot have run ends so, whatever the reason for stopping; and if it is cancelled, that is no
+        failure of the backend.
         """
         connection, connect_task = self.connection, self.connect_task
         if connect_task is not None:
             connect_task.cancel()
-        if connection is None or not connection.is_request_written:
+        if not self.may_have_run:
             status = Status.MOOT if status is Status.CANCELLED else Status.CONNECT_FAILED
         if connection is not None:
             connection.exchange = None
@@ -182,10 +187,17 @@
 
     @property
     def is_request_written(self) -> bool:
-        """Whether the whole request has been written; one that has not cannot have run."""
+        """Whether the whole request has been written, so that the connection can carry another one."""
         exchange = self.exchange
         return self.is_flushed and (exchange is None or exchange.upload is None or exchange.upload.is_sent)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the backend may have begun to work on the request, by what has been written."""
+        if self.pool.STARTS_AT_LAST_BYTE:
+            return self.is_request_written
+        return self.exchange is not None and self.exchange.has_written
+
     def write_body(self) -> None:
         """Write the pending bytes of the upload, if the backend takes them."""
         upload = self.exchange.upload
@@ -364,13 +376,12 @@
             self._finish()
 
     def connection_lost(self, error: Exception | None) -> None:
-        is_request_written, exchange, self.exchange, self.receiver = (
-            self.is_request_written, self.exchange, None, None)
+        may_have_run, exchange, self.exchange, self.receiver = self.may_have_run, self.exchange, None, None
         self.close()
         self.pool.all.discard(self)
         self.parser = self.poller = None  # parser and protocol refer to each other, and collections are rare
         if exchange is not None:
-            exchange.end(Status.RESET if is_request_written else Status.CONNECT_FAILED)
+            exchange.end(Status.RESET if may_have_run else Status.CONNECT_FAILED)
 
     def close(self) -> None:
         if not self.closed:
@@ -383,6 +394,10 @@
 class Backends:
     """The connection pools of all backends that discovery has named, with a common limit on connections."""
 
+    # Whether the backends' protocol says that a request cannot run before its last byte has come; else a backend may
+    # work on it as soon as it has the head.
+    STARTS_AT_LAST_BYTE = True
+
     def __init__(self, loop: asyncio.AbstractEventLoop, max_connections: int, connect_timeout_s: float,
                  idle_timeout_s: float, budget: Budget) -> None:
         """`idle_timeout_s` is the backends' own; 0 if unknown.  A `connect_timeout_s` of 0 means the default."""
--- a/fennelpoint/net/controller_host.py
+++ b/fennelpoint/net/controller_host.py
@@ -335,7 +335,7 @@
                 open_request.last_failure = response
             self._release(open_request)
             self.post(api.Outcome(send.request, number, send.backend, status,
-                                  self.clock() - self._started_at(open_request, now),
+                                  self._latency(open_request, now, status),
                                   open_request.client is None, report=self._report(response),
                                   wrote=exchange.has_written))
 
@@ -370,6 +370,12 @@
             timer = self.loop.call_later(until - now, exchange.give_up, api.Status.TIMEOUT)
         self.backends.begin(exchange, send.backend)
 
+    def _latency(self, open_request: OpenRequest, sent_at: float, status: api.Status) -> float:
+        """Return the seconds that an attempt took the backend; 0 if it was cancelled while it waited for the body."""
+        if status is api.Status.CANCELLED and open_request.deadline == inf:
+            return 0.0
+        return self.clock() - self._started_at(open_request, sent_at)
+
     @staticmethod
     def _started_at(open_request: OpenRequest, sent_at: float) -> float:
         """Return when an attempt's latency begins to count: at the send, or at the request's last byte if later."""
--- a/fennelpoint/system/proxy/controller_host.py
+++ b/fennelpoint/system/proxy/controller_host.py
@@ -17,6 +17,8 @@
 class ProxyBackends(Backends):
     """Judges answers by the attempt id, the backend's seal and its statement that it has not run the request."""
 
+    STARTS_AT_LAST_BYTE = False
+
     def judge(self, exchange: Exchange, status: int, headers: list[tuple[bytes, bytes]]) -> api.Status | None:
         has_id = has_seal = is_not_executed = False
         for name, value in headers:
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -164,6 +164,7 @@
 def parse_response(pieces: list[bytes], end: bool) -> tuple[Status | None, int, bytes]:
     """Return outcome, status and body of a backend's response, whether it was streamed or not."""
     pool = SimpleNamespace(all=set(), budget=Budget(1 << 26), judge=partial(Backends.judge, None),
+                           STARTS_AT_LAST_BYTE=Backends.STARTS_AT_LAST_BYTE,
                            keep_alive_s=partial(Backends.keep_alive_s, None), has_id=partial(Backends.has_id, None))
     upstream = Upstream("127.0.0.1", 1, 0.0, BackendState.READY)
     sink, out = ResponseSink(), []
