server: one answer only to a client that stalls after its upload was answered

Callers saw: a client whose long upload was refused (or answered early) and that then stopped sending got a second answer, 408, on the same connection: bytes that answer no request, with a promise that is about none. Cause: `ClientConnection._reject` queued its error whether or not the request had its answer already. Evidence: 503, then 408 on the same connection (test_client_that_stalls_after_its_upload_was_answered_gets_no_second_answer, red before). Change: a request that has its answer gets no second one; the connection is closed in order.

--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -318,8 +318,12 @@
             self._close_gracefully()
 
     def _reject(self, error: BadRequest) -> None:
+        """Queue an error response, and ignore all input after it."""
         if not self.ignores_input:
             self.ignores_input = True
+            if self.upload is not None and self.open_request is None and not self.pending:
+                # It has its response already: a second one would pass for the response to the next request.
+                return self._close_gracefully()
             if self.upload is not None and self.open_request is not None:
                 # The request stays incomplete: end it at the host, and send only this error.
                 self.upload = None
--- a/tests/system/test_possible_execution.py
+++ b/tests/system/test_possible_execution.py
@@ -169,3 +169,20 @@
         upload.close()
 
     play(scenario, reset, reset)
+
+
+# Guards the client's view of the connection: a second answer would pass for one to its next request.
+def test_client_that_stalls_after_its_upload_was_answered_gets_no_second_answer(monkeypatch) -> None:
+    monkeypatch.setattr(body_buffering, "PACE_GRACE_S", 0.1)
+    monkeypatch.setattr(body_buffering, "MIN_BYTES_PER_S", 1e6)
+
+    async def scenario(proxy: RunningProxy, early: EarlyBackend) -> None:
+        proxy.expire_lease()
+        upload = Upload(proxy.public)
+        await upload.begin()
+        assert await upload.status() == b"503" and not early.runs
+        rest = await asyncio.wait_for(upload.reader.read(), 5.0)
+        assert b"HTTP/1.1" not in rest
+        upload.close()
+
+    play(scenario, work_on)
