proxy: routes ask for keys as long as the configuration has tenants

Cause: `ProxyReader` took an empty table of keys for a configuration without `tenants`. The table is empty too where no tenant holds a key, or where the section has no tenant left. Evidence, red before: the last keys taken away in one PATCH, one after the other, and with their tenants (four cases of test_no_request_runs_without_a_key_once_the_last_key_is_taken_away); over sockets the booking was sent on for the key that was gone (test_booking_with_the_last_key_is_refused_once_that_key_is_taken_away). Change: `ConfigVersion.requires_keys` says whether the configuration has the section `tenants`, which is what the protocol asks by; both uses go by it. Public routes stay open, and don't pass the key on. Why it works: nothing is inferred from what the section contains. A configuration without the section needs no key, as before.

--- a/fennelpoint/system/config_versions.py
+++ b/fennelpoint/system/config_versions.py
@@ -169,6 +169,8 @@
             table = self.routes_by_host.setdefault(listener["host"].lower(), {})
             for rule in listener["rule_set"]:
                 table[rule["match_criteria"]["path_prefix"]] = _route(rule)
+        # Also where there is no tenant left, or none with a key: then no request has one that is known.
+        self.requires_keys = value.get("tenants") is not None
         self.tenants, self.tenant_by_key = [], {}
         for item in value.get("tenants") or ():
             tenant = Tenant(item["name"], int(item.get("route_priority") or 0), float(item.get("rate_per_s") or 0.0),
--- a/fennelpoint/system/proxy/request_parser.py
+++ b/fennelpoint/system/proxy/request_parser.py
@@ -101,7 +101,7 @@
         time_left = min(self._remaining_s(single_headers, route), route.timeout_s)
         lines = [method + b" " + url + b" HTTP/1.1"]
         options -= NEVER_HOP_BY_HOP
-        key_header = b"authorization" if version.tenant_by_key else b""
+        key_header = b"authorization" if version.requires_keys else b""
         lines += [name + b": " + value for name, value in headers
                   if name not in NOT_FORWARDED and name not in options and name != key_header]
         if tenant is not None:
@@ -120,10 +120,11 @@
 
     def _tenant(self, version: ConfigVersion, route: Route, authorization: bytes | None,
                 is_head: bool) -> Tenant | None:
+        """The tenant of the request's key; none on a public route, or if the configuration has no tenants."""
         tenant = None
         if authorization is not None and authorization[:6].lower() == SCHEME:
             tenant = version.tenant_by_key.get(authorization[6:].strip().decode("latin-1"))
-        if tenant is None and version.tenant_by_key and not route.is_public:
+        if tenant is None and version.requires_keys and not route.is_public:
             raise self._if_leased(
                 LocalReply(401, ((b"www-authenticate", b"Token"),), b"the key is not known\n", is_head)
             )
--- a/tests/system/test_proxy.py
+++ b/tests/system/test_proxy.py
@@ -5,13 +5,15 @@
 from random import Random
 
 import pytest
+from result import Ok
 
 from fennelpoint import interface as api
 from fennelpoint.body_buffering import Budget
 from fennelpoint.net.backends import Exchange
 from fennelpoint.net.controller_runtime import Clock
 from fennelpoint.net.request_parser import BadRequest, LocalReply
-from fennelpoint.system.config_versions import ConfigVersion
+from fennelpoint.system.config_schema import check
+from fennelpoint.system.config_versions import ConfigVersion, merge
 from fennelpoint.system.proxy.controller import ProxyController
 from fennelpoint.system.proxy.controller_host import ProxyBackends
 from fennelpoint.system.proxy.events import (
@@ -36,7 +38,7 @@
             "route_action": {"request_timeout_s": 1.5, "max_attempts": 2, **act}}
 
 
-def make_reader(has_tenants: bool = True, is_leased: bool = True) -> ProxyReader:
+def make_configuration(has_tenants: bool = True) -> dict:
     split = [{"service": "a", "traffic_weight": 0}, {"service": "b", "traffic_weight": 5}]
     rules = [rule("r1", "/x/", service="a"), rule("r3", "/split/", traffic_split=split),
              rule("r2", "/x/deep/", "non_idempotent", service="b", home_regions=["r1", "r2"]),
@@ -47,8 +49,12 @@
         value["tenants"] = [{"name": "t1", "api_keys": ["k1"], "rate_per_s": 5, "burst_size": 5},
                             {"name": "t2", "api_keys": ["k2"], "home_regions": ["r2", "r3"]},
                             {"name": "t3", "api_keys": ["k3"], "home_regions": ["r3"]}]
+    return value
+
+
+def make_reader(has_tenants: bool = True, is_leased: bool = True, configuration: dict | None = None) -> ProxyReader:
     result = ProxyReader(lambda: None, Random(1), lambda: is_leased)
-    result.apply_version(ConfigVersion(value))
+    result.apply_version(ConfigVersion(configuration or make_configuration(has_tenants)))
     return result
 
 
@@ -97,6 +103,44 @@
         read(make_reader(), b"/x/1", (b"x-attempt-id", b"i2"))
 
 
+def make_reader_after(*changes: dict) -> ProxyReader:
+    """A reader of the configuration that these PATCHes make of one with three tenants."""
+    value = make_configuration()
+    for number, change in enumerate(changes, value["version"] + 1):
+        value = merge(value, {"version": number, "base_version": number - 1, **change}).unwrap()
+        assert isinstance(check(value), Ok)
+    return make_reader(configuration=value)
+
+
+def keyless(*names: str) -> dict:
+    return {"upsert": {"tenants": [{"name": name, "api_keys": []} for name in names]}}
+
+
+ALL_TENANTS = ("t1", "t2", "t3")
+LAST_KEYS_TAKEN_AWAY = {
+    "all in one change": [keyless(*ALL_TENANTS)],
+    "one after the other": [keyless(name) for name in ALL_TENANTS],
+    "with their tenants": [{"remove": {"tenants": list(ALL_TENANTS)}}],
+    "the last tenant": [keyless("t1", "t2"), {"remove": {"tenants": ["t3"]}}],
+}
+
+
+# Guards the rule CONFIG: a table of keys that is empty must not pass for a configuration that asks for none.
+@pytest.mark.parametrize("taken_away", LAST_KEYS_TAKEN_AWAY)
+def test_no_request_runs_without_a_key_once_the_last_key_is_taken_away(taken_away) -> None:
+    reader = make_reader_after(*LAST_KEYS_TAKEN_AWAY[taken_away])
+    for key in (b"k1", b"k2", b"k3", b"nobody", b""):
+        for url in (b"/x/1", b"/x/deep/1"):
+            with pytest.raises(LocalReply) as raised:
+                read(reader, url, key=key)
+            assert raised.value.status == 401
+    public = read(reader, b"/open/1", key=b"k1")
+    assert public.customer == -1 and b"k1" not in public.render(0.5, "i-7")
+    restored = make_reader_after(*LAST_KEYS_TAKEN_AWAY[taken_away],
+                                 {"upsert": {"tenants": [{"name": "t2", "api_keys": ["k9"]}]}})
+    assert b"X-Tenant-Name: t2" in read(restored, b"/x/1", key=b"k9").render(0.5, "i-7")
+
+
 def test_a_cell_is_limited_to_home_regions_of_both_route_and_tenant() -> None:
     reader = make_reader()
     assert read(reader, b"/x/deep/1", key=b"k2").cell == "b|r2"
--- a/tests/system/test_proxy_process.py
+++ b/tests/system/test_proxy_process.py
@@ -41,9 +41,11 @@
     return proxy.program, booking, proxy.public, proxy.readiness
 
 
-async def post(port: int, attempt_id: str, left_ms: int = 4000, path: str = "/r/1", body: bytes = b"x") -> bytes:
+async def post(port: int, attempt_id: str, left_ms: int = 4000, path: str = "/r/1", body: bytes = b"x",
+               key: str = "") -> bytes:
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(f"POST {path} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {attempt_id}\r\n"
+    authorization = f"Authorization: Token {key}\r\n" if key else ""
+    writer.write(f"POST {path} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {attempt_id}\r\n{authorization}"
                  f"X-Deadline-Remaining: {left_ms}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.lower().split(b"\r\n")
@@ -225,6 +227,24 @@
     program.session.lease_expires_at = time.monotonic()
 
 
+# Guards the rules CONFIG and UNASKED: when the only tenant loses its last key, that must not open the routes to all.
+def test_booking_with_the_last_key_is_refused_once_that_key_is_taken_away() -> None:
+    async def play() -> None:
+        booking = Booking()
+        booking.may_answer.set()
+        value = deepcopy(CONFIGURATION) | {"tenants": [{"name": "t", "api_keys": ["k"]}]}
+        proxy = await start_proxy(booking.serve, configuration=value)
+        assert (await post(proxy.public, "b1", key="k")).startswith(b"HTTP/1.1 200")
+        value["tenants"][0]["api_keys"] = []
+        proxy.agree(value | {"version": 7, "base_version": 3}, 2)
+        for key in ("k", "another", ""):
+            assert (await post(proxy.public, "b2", key=key)).startswith(b"HTTP/1.1 401")
+        assert booking.attempt_ids == ["b1"]
+        proxy.program.close()
+
+    asyncio.run(asyncio.wait_for(play(), 10.0))
+
+
 # Guards the rule CONFIG: no request is answered by an older version later than `config_apply_s` after the
 # acknowledgement of its successor.
 def test_a_lease_expires_before_a_change_must_be_in_force() -> None:
