config: a host that names its port and has no rules is not served by the host without it

Cause: the same as of the keys before: `ConfigVersion.find` took an empty table for a missing one. Evidence: the test, red before. Change: only a host that is not in the configuration is looked up without its port.

--- a/fennelpoint/system/config_versions.py
+++ b/fennelpoint/system/config_versions.py
@@ -181,7 +181,8 @@
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route of the host whose prefix is the longest that matches the path."""
         host = host.lower()
-        table = self.routes_by_host.get(host) or self.routes_by_host.get(host.rpartition(":")[0])
+        if (table := self.routes_by_host.get(host)) is None:
+            table = self.routes_by_host.get(host.rpartition(":")[0])
         if table is None:
             return None
         end = len(path)
--- a/tests/system/test_proxy.py
+++ b/tests/system/test_proxy.py
@@ -141,6 +141,15 @@
     assert b"X-Tenant-Name: t2" in read(restored, b"/x/1", key=b"k9").render(0.5, "i-7")
 
 
+# The same cause as above: a table that is empty must not pass for one that is missing.
+def test_host_with_a_port_and_no_rules_does_not_get_the_rules_of_the_host_without_it() -> None:
+    value = make_configuration(has_tenants=False)
+    value["listener_table"].append({"host": "h.example:80", "rule_set": []})
+    with pytest.raises(LocalReply) as raised:
+        read(make_reader(configuration=value), b"/x/1", key=b"")
+    assert raised.value.status == 404
+
+
 def test_a_cell_is_limited_to_home_regions_of_both_route_and_tenant() -> None:
     reader = make_reader()
     assert read(reader, b"/x/deep/1", key=b"k2").cell == "b|r2"
