testing: ports that belong together are reserved together, at all of their addresses

Trace: the fault is the test's. `free_port()` looked at 127.0.0.1 and locked one port; a mesh listens on that port + 1 (its role's place in the range), on 127.0.0.1 and 127.0.0.2. Whoever was given the next port listens there. Change: `free_ports(count, hosts)` locks a range and looks at each of its ports on each host. The mesh's tests, the stand-in proxy and the demo's system, which had the same fault, use it.

--- a/fennelpoint/testing/process.py
+++ b/fennelpoint/testing/process.py
@@ -12,17 +12,19 @@
 import socket
 import sys
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 
 STOP_WITHIN = 10.0  # s after SIGTERM before it is killed
 
 
+LOOPBACK = "127.0.0.1"
 PORTS = range(12_000, 32_000)   # under those that the system gives to connections by itself
-_given: dict[int, int] = {}     # by this process: whoever asked for one may not listen yet; locks on their files
+_locks: dict[int, int] = {}     # by port: descriptors of the locks of the ports that this process was given
 
 
 def _lock(port: int) -> int | None:
-    """A lock that other processes which look for ports see; none where one of them has it.  It ends with us."""
+    """Lock a port against other processes that look for ports; None if one of them has it.  It ends with us."""
     folder = Path(tempfile.gettempdir()) / "larchwing-ports"
     folder.mkdir(exist_ok=True)
     file = os.open(folder / str(port), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o666)
@@ -34,18 +36,50 @@
         return None
 
 
-def free_port() -> int:
-    """A port of loopback that nobody listens on just now, drawn by lot, as others look, too."""
+def _is_free(host: str, port: int) -> bool:
+    """Whether nobody listens on the port of this address just now."""
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
+def _reserve(ports: Sequence[int]) -> bool:
+    """Lock all these ports, or none of them."""
+    if any(port in _locks for port in ports):
+        return False
+    locks: dict[int, int] = {}
+    for port in ports:
+        if (lock := _lock(port)) is None:
+            for taken in locks.values():
+                os.close(taken)
+            return False
+        locks[port] = lock
+    _locks.update(locks)
+    return True
+
+
+def free_ports(count: int, hosts: Sequence[str] = (LOOPBACK,)) -> int:
+    """The first of `count` consecutive ports on which nobody listens at any of the hosts.
+
+    They are drawn by lot, as others look, too, and are reserved for this process for as long as it lives.
+    """
     draw = random.SystemRandom()
     while True:
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port := draw.choice(PORTS)))
-            except OSError:
-                continue
-        if port not in _given and (lock := _lock(port)) is not None:
-            _given[port] = lock
-            return port
+        first = draw.choice(PORTS)
+        ports = range(first, first + count)
+        if _reserve(ports):
+            if all(_is_free(host, port) for host in hosts for port in ports):
+                return first
+            for port in ports:
+                os.close(_locks.pop(port))
+
+
+def free_port() -> int:
+    """One port of loopback, as `free_ports` finds it."""
+    return free_ports(1)
 
 
 def die_with_parent() -> None:
--- a/fennelpoint/testing/proxy_program.py
+++ b/fennelpoint/testing/proxy_program.py
@@ -10,8 +10,9 @@
 from dataclasses import dataclass
 
 from fennelpoint.system import settings
+from fennelpoint.system.mesh import ROLES
 from fennelpoint.system.proxy.program import Program
-from fennelpoint.testing.process import free_port
+from fennelpoint.testing.process import free_port, free_ports
 
 CORE = "roll@127.0.0.9"
 SERVICE = "svc"
@@ -41,11 +42,11 @@
     public: int, readiness: int, grace: float = 1.0, bounds: str = "", seed: str = "127.0.0.9:8200"
 ) -> settings.Settings:
     """The settings of a proxy on loopback; `bounds` are further lines of the settings file."""
-    inner = free_port()
+    first_internal = free_ports(len(ROLES))
     return settings.build(
         settings.parse(
             f"node_name=f\nnode_role=r\nip_address=127.0.0.1\navailability_zone=za\nregion=ra\nzones.za=ra\n"
-            f"internal_ports={inner},{inner + 5}\nseed_nodes={seed}\n"
+            f"internal_ports={first_internal},{first_internal + len(ROLES) - 1}\nseed_nodes={seed}\n"
             f"listen_addresses.public_http=127.0.0.1:{public}\n"
             f"listen_addresses.readiness=127.0.0.1:{readiness}\nrule_bounds.grace_period_s={grace}\n{bounds}"
         )
--- a/fennelpoint/testing/system_demo.py
+++ b/fennelpoint/testing/system_demo.py
@@ -21,7 +21,8 @@
 from result import Ok
 
 from fennelpoint.system.client import Client
-from fennelpoint.testing.process import free_port
+from fennelpoint.system.mesh import ROLES
+from fennelpoint.testing.process import free_ports
 from fennelpoint.testing.servers import read_message
 
 ZONES = {"za": "ra", "zb": "rb", "zc": "rc"}
@@ -135,13 +136,12 @@
                  proxies: tuple[str, ...] = ("front-za-1", "front-zb-1", "front-zc-1", "front-za-2"),
                  program: str = PROGRAM) -> None:
         self.root, self.zones, self.program, self.running = root, zones, program, {}
-        listeners = ("control_plane", "directory_service", "public_http", "readiness")
-        self.ports = {name: free_port() for name in listeners}
-        self.first_internal_port = free_port()
-        while {self.first_internal_port + i for i in range(3)} & set(self.ports.values()):
-            self.first_internal_port = free_port()
         self.cores = {name: f"127.61.0.{i + 1}" for i, name in enumerate(cores)}
         self.proxies = {name: f"127.62.0.{i + 1}" for i, name in enumerate(proxies)}
+        hosts = [*self.cores.values(), *self.proxies.values()]
+        listeners = ("control_plane", "directory_service", "public_http", "readiness")
+        self.ports = {name: free_ports(1, hosts) for name in listeners}
+        self.first_internal_port = free_ports(len(ROLES), hosts)
 
     def address(self, machine: str, listener: str) -> str:
         return f"{(self.cores | self.proxies)[machine]}:{self.ports[listener]}"
@@ -150,7 +150,7 @@
         zone = machine.split("-")[1]
         lines = {"node_name": machine, "node_role": role, "ip_address": (self.cores | self.proxies)[machine],
                  "availability_zone": zone, "region": self.zones[zone],
-                 "internal_ports": f"{self.first_internal_port},{self.first_internal_port + 2}",
+                 "internal_ports": f"{self.first_internal_port},{self.first_internal_port + len(ROLES) - 1}",
                  "seed_nodes": ",".join(self.address(core, "control_plane") for core in list(self.cores)[:3]),
                  "first_start": str(first).lower(), "heartbeat_s": HEARTBEAT_INTERVAL_S,
                  "rule_bounds.grace_period_s": GRACE_S,
--- a/tests/system/test_mesh.py
+++ b/tests/system/test_mesh.py
@@ -1,21 +1,22 @@
 """Persistent connections between processes, on loopback."""
 
 import asyncio
+import socket
 import time
 from collections.abc import Callable
 
 import pytest
 import uvloop
 
-from fennelpoint.system.mesh import Mesh, peer_name
-from fennelpoint.testing.process import free_port
+from fennelpoint.system.mesh import ROLES, Mesh, peer_name
+from fennelpoint.testing import process
 
 IPS = ("127.0.0.1", "127.0.0.2")
 
 
 async def start_meshes() -> tuple[list[Mesh], list[tuple]]:
     """Returns a started mesh for each address, and the messages that they receive as (address, peer, message)."""
-    loop, received, port = asyncio.get_running_loop(), [], free_port()
+    loop, received, port = asyncio.get_running_loop(), [], process.free_ports(len(ROLES), IPS)
     meshes = [
         Mesh(loop, "roll", ip, (port, port + 2), lambda peer, message, ip=ip: received.append((ip, peer, message)))
         for ip in IPS]
@@ -30,6 +31,24 @@
             await asyncio.sleep(0.01)
 
 
+# Guards against "address already in use": a test that runs beside this one listens within the range of ports.
+@pytest.mark.parametrize("taken_ip", IPS)
+def test_ports_of_a_mesh_are_free_at_all_of_its_addresses(monkeypatch, taken_ip: str) -> None:
+    async def play() -> None:
+        first = process.free_ports(2 * len(ROLES), IPS)
+        with socket.socket() as taken:
+            taken.bind((taken_ip, first + 1))
+            taken.listen()
+            monkeypatch.setattr(process, "PORTS", range(first, first + len(ROLES) + 1))
+            for port in range(first, first + 2 * len(ROLES)):
+                process.os.close(process._locks.pop(port))
+            meshes, _ = await start_meshes()
+        assert meshes[0].ports[0] > first + 1
+        for mesh in meshes:
+            mesh.close()
+    asyncio.run(play())
+
+
 def test_either_side_may_dial_the_other() -> None:
     """A new machine that its peers do not know yet has to dial them, whether its address is the lower or higher."""
     for dialler_index in (0, 1):
