client: no "has not run" for a repeatable request of which an attempt may have run

Callers of the library saw: a first attempt that was cut off, then attempts whose connects failed, gave a failure with status 503, "the request has not run", although the first may have. A 503 answer after a 502 said the same of the whole. Cause: the result told of the last attempt alone. Found by following each promise back to what proves it. Change: a failure has 504 once an attempt may have run, and `Answer.may_have_run` tells of all attempts. Writes are as before: nothing follows an attempt that may have run.

--- a/fennelpoint/system/client.py
+++ b/fennelpoint/system/client.py
@@ -4,7 +4,8 @@
     answer = await client.request("POST", "bookings.example", "/book/1", b"{}", deadline=2.5, repeatable=False)
 
 The status decides whether a request may be retried: 408, 421, 429 and 503 promise that it has not run and never will.
-After any other failure it may have run, so only a repeatable request is retried.  Each attempt has its own id.
+After any other failure it may have run, so only a repeatable request is retried.  Each attempt has its own id, and a
+promise is about one attempt: `Answer.may_have_run` tells of all of them.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 import random
 import secrets
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from urllib.parse import urlencode
 
 import httptools
@@ -35,12 +36,16 @@
 
 @dataclass(slots=True)
 class Answer:
-    """A response; `headers` are by lower-case name, and `tries` is the number of attempts that were made."""
+    """A response; `headers` are by lower-case name, and `tries` is the number of attempts that were made.
+
+    `may_have_run` tells whether any of these attempts may have run, whatever the last one's status promises.
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes
     tries: int = 1
+    may_have_run: bool = True
 
 
 @dataclass(eq=False)
@@ -97,10 +102,10 @@
         """Returns the response of a proxy, or why there is none before the deadline (s from now).
 
         A response of any status is Ok: the caller gets the last one that arrived.  Err names the step and the peer;
-        its `status` is 503 if the request has not run, and 504 if it may have.
+        its `status` is 503 if the request has not run in any attempt, and 504 if it may have.
         """
         ends_at, failure = time.monotonic() + deadline, Failure("resolve", "", "no proxy is known", 503)
-        answer = None
+        answer, may_have_run = None, False
         for attempt in range(1, MAX_ATTEMPTS + 1):
             if (time_left := ends_at - time.monotonic()) <= 0.0:
                 break
@@ -113,18 +118,22 @@
             result = await self._attempt(address, method, host, path, body, time_left, headers or {})
             if isinstance(result, Err):
                 failure = result.err_value
+                may_have_run = may_have_run or failure.status != 503
                 self.excluded_until[address] = time.monotonic() + 1.0
-                if failure.status != 503 and not repeatable:
+                if may_have_run and not repeatable:
                     return Err(failure)     # it may have run: only the caller can find out
                 await self._wait_to_retry(None, ends_at)
                 continue
             answer = result.ok_value
-            answer.tries = attempt
+            may_have_run = may_have_run or answer.status not in NOT_EXECUTED_STATUSES
+            answer.tries, answer.may_have_run = attempt, may_have_run
             may_retry = answer.status in NOT_EXECUTED_STATUSES or repeatable and answer.status >= 500
             if answer.status < 300 or answer.status in FINAL_STATUSES or not may_retry:
                 return Ok(answer)
             await self._wait_to_retry(answer.headers.get("retry-after"), ends_at)
-        return Ok(answer) if answer is not None else Err(failure)
+        if answer is not None:
+            return Ok(answer)
+        return Err(replace(failure, status=504) if may_have_run else failure)
 
     async def _wait_to_retry(self, retry_after: str | None, ends_at: float) -> None:
         """Waits before the next attempt; `retry_after` is the header of the last response."""
--- a/tests/system/test_client.py
+++ b/tests/system/test_client.py
@@ -83,6 +83,27 @@
     assert isinstance(answer, Ok) and answer.ok_value.status == 200 and len(proxy.requests) == 3
 
 
+# Guards the promise of 503: an earlier attempt may have run, whatever the last one ended with.
+def test_a_repeatable_request_is_not_reported_as_unexecuted_once_an_attempt_may_have_run() -> None:
+    async def run() -> None:
+        proxy = ScriptedServer(None)
+        directory = ScriptedServer(directory_response(await proxy.start()))
+        client = Client([await directory.start()])
+        request = asyncio.ensure_future(client.request("GET", "h", "/x", deadline=0.5, repeatable=True))
+        while not proxy.requests:
+            await asyncio.sleep(0.001)
+        proxy.server.close()    # every further attempt is refused a connection
+        answer = await request
+        assert isinstance(answer, Err) and answer.err_value.step == "connect" and answer.err_value.status == 504
+        client.close()
+
+    asyncio.run(run())
+    refused = [empty_response(503)] * 3
+    for first, may_have_run in ((empty_response(502), True), (empty_response(503), False)):
+        answer, _ = send_requests(ScriptedServer(first, *refused), repeatable=True)
+        assert (answer.unwrap().status, answer.unwrap().may_have_run) == (503, may_have_run)
+
+
 def test_a_final_status_is_not_retried() -> None:
     proxy = ScriptedServer(empty_response(404))
     answer, _ = send_requests(proxy, repeatable=True)
