net: a connect that has come up is not given up because the process stood still

Callers saw: where the process stood still for the time-out of a connect (0.25 s, 0.4 s in the system) just as a connection to a backend came up, the request was written, the connection aborted in the next turn of the loop, and a write got 502. Cause: the time-out's timer cancelled the task of the connect whether or not the connection had been made. uvloop runs due timers before the task hears that it is connected. Change: the timer ends only a connect whose connection has not been made. The test of equal decisions, in which time stands still but for what it lets pass, has no time-out of connects by the wall clock any more (25 s, as its counter's); what it compares is as before. Looked for elsewhere: the counter and the links between processes abort and dial again, nothing is lost by it.

--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -480,7 +480,13 @@
         task = self.loop.create_task(connect(
             self.loop, lambda: UpstreamConnection(self, upstream, exchange), upstream.host, upstream.port))
         exchange.connect_task, self.connect_tasks[task] = task, exchange
-        timer = self.loop.call_later(self.connect_timeout_s, task.cancel)
+
+        def expire() -> None:
+            # A connection that has come up carries the request already, even if the task has not run since.
+            if exchange.connection is None:
+                task.cancel()
+
+        timer = self.loop.call_later(self.connect_timeout_s, expire)
 
         def connected(task: asyncio.Task) -> None:
             timer.cancel()
--- a/tests/routes/test_same_decisions.py
+++ b/tests/routes/test_same_decisions.py
@@ -21,6 +21,7 @@
 from fennelpoint.net import controller_host as host_module
 from fennelpoint.operator_config import Operator, Routes
 from fennelpoint.testing import Backend, Count, ok, read_message, run, until, world
+from fennelpoint.testing.settings import SETTINGS
 
 REQUESTS = 70
 # Small quotas, so that some are held and some refused; a sparse plan whose tries ask the counter one by one.
@@ -141,7 +142,9 @@
     monkeypatch.setattr(host_module, "Clock", lambda: lambda: made_play.now)
 
     async def inner() -> None:
+        # No time-out of the wall clock: that of a connect is as long as a request may take.
         settings = {"grades": GRADES, "contracts": CONTRACTS,
+                    "bounds": {**SETTINGS["bounds"], "connect_timeout_s": 25.0},
                     "extra": {"has_counter": True, "count_wait_s": 25.0, "units_top": 3}}
         backends = [Backend(made_play.answer) for _ in range(3)]
         async with world(*backends, operator=operator, count=StepCount(), **settings) as made:
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 
@@ -148,6 +149,24 @@
     run(scenario())
 
 
+# Guards against 502 for a write because the process stood still while a connection to its backend came up.
+def test_request_is_served_on_a_connection_that_comes_up_while_the_process_stands_still(monkeypatch):
+    async def scenario() -> None:
+        backend = Backend()
+        async with world(backend) as harness:
+            original_connection_made = UpstreamConnection.connection_made
+
+            def stand_still(connection, transport) -> None:
+                original_connection_made(connection, transport)
+                time.sleep(1.2 * harness.ingress.backends.connect_timeout_s)
+
+            monkeypatch.setattr(UpstreamConnection, "connection_made", stand_still)
+            line, _, _ = await asyncio.wait_for(ask(harness, request("book", left=60_000)), 5.0)
+            assert line.split()[1] == "200" and len(backend.seen) == 1
+
+    run(scenario())
+
+
 class DelayedLoop:
     """An event loop whose connects complete when the test allows it."""
 
