net: a request that offers another protocol is read as if it did not

Cause: httptools ends such a message with its head and raises HttpParserUpgrade only then; the connection had passed the request on by that time. The API's server had the same fault. Change: at such a head nothing is passed on; the head is parsed once more without the offer, together with the bytes that follow (`net/upgrade_offers.py`). CONNECT and TRACE get 405 and the end of the connection.

--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -24,6 +24,7 @@
 from fennelpoint.net.controller_host import ControllerHost, ParsedRequest, Source
 from fennelpoint.net.flow_control import BoundedReadProtocol
 from fennelpoint.net.request_parser import BadRequest, LocalReply, RequestReader
+from fennelpoint.net.upgrade_offers import UNSUPPORTED_METHODS, head_without_offer
 
 MAX_HEAD_BYTES = 16 * 1024          # request line and header fields together
 MAX_FRAMING_BYTES = 512 * 1024      # chunk framing and trailers of one request, beside 8 bytes per body byte
@@ -53,7 +54,7 @@
                  "body_size", "in_head", "in_body", "is_disconnected", "is_write_paused", "queue",
                  "is_head_request", "content_length", "pace", "upload", "account", "source", "is_chunked",
                  "is_self_delimited", "expects_continue", "is_read_paused", "is_reused", "streamed_bytes",
-                 "flushed_bytes", "flushed_at", "high_water_mark", "__weakref__")
+                 "flushed_bytes", "flushed_at", "high_water_mark", "has_offer", "__weakref__")
 
     def __init__(self, server: Server) -> None:
         super().__init__(server.host.budget)
@@ -90,6 +91,7 @@
         self.content_length: int | None = None
         self.pace: Pace | None = None   # of a body that did not arrive together with its head
         self.expects_continue = False   # the client waits for "100 Continue" before it sends its body
+        self.has_offer = False          # the head offers another protocol
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -126,12 +128,7 @@
                 self.transport.abort()      # the response is written; reading the rest costs more than it is worth
             return
         self.message_began = False
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(BadRequest("no other protocol is spoken here"))
-        except httptools.HttpParserError as error:
-            self._reject(BadRequest(f"it can't be read: {error}"))
+        self._parse(data)
         if (self.in_head or self.in_body) and not self.message_began:   # no message began within these bytes
             # Bounds memory: the parser buffers an endless field or trailer without calling back.
             self.received_bytes += len(data)
@@ -148,6 +145,21 @@
             self._on_body_progress()
         self._serve_next()
 
+    def _parse(self, data: bytes) -> None:
+        """Feed input to the parser; a request that offers another protocol is parsed as if it did not."""
+        while True:
+            try:
+                return self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as offer:
+                if self.ignores_input:
+                    return
+                parsed_bytes, parser = offer.args[0], self.parser
+                head = head_without_offer(parser.get_method(), self.url, parser.get_http_version(), self.headers)
+                data = head + data[parsed_bytes:]
+                self.parser = httptools.HttpRequestParser(self)
+            except httptools.HttpParserError as error:
+                return self._reject(BadRequest(f"it can't be read: {error}"))
+
     def _on_body_progress(self) -> None:
         """Handle a body that did not arrive with its head: check its rate, and stream it once it is large."""
         now = time.monotonic()
@@ -236,6 +248,11 @@
         self.in_head, self.in_body = False, True
         if self.ignores_input:
             return
+        if (method := self.parser.get_method()) in UNSUPPORTED_METHODS:
+            return self._reject(BadRequest(f"{method.decode()} is not supported", 405))
+        if self.parser.should_upgrade():
+            self.has_offer = True   # `_parse` parses it anew without the offer
+            return
         if self.head_size + len(self.url) > MAX_HEAD_BYTES:
             return self._reject(BadRequest("the head is too long", 431))
         length = coding = None
@@ -269,7 +286,7 @@
 
     def on_message_complete(self) -> None:
         self.in_body = False
-        if self.ignores_input:
+        if self.ignores_input or self.has_offer:
             return
         if self.upload is not None:
             self.upload.is_complete = True
--- a/fennelpoint/system/http_server.py
+++ b/fennelpoint/system/http_server.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from fennelpoint.net.upgrade_offers import UNSUPPORTED_METHODS, head_without_offer
 from fennelpoint.system.calls import Call, find_call
 
 IDLE_TIMEOUT_S = 12.0
@@ -74,6 +75,8 @@
         self.queue: list[tuple[ApiRequest | Reply, bool]] = []  # with whether to keep the connection alive after it
         self.active: ApiRequest | None = None
         self.keep_alive, self.url, self.body, self.body_size, self.ignores_input = True, b"", [], 0, False
+        self.headers: list[tuple[bytes, bytes]] = []    # of the request that is parsed; names in lower case
+        self.has_offer = False      # its head offers another protocol
         self.idle_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -92,13 +95,24 @@
             self._restart_idle_timer()
 
     def data_received(self, data: bytes) -> None:
-        if self.ignores_input:
-            return
-        try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._reject(Reply(400, {"error_message": "malformed HTTP request"}))
-        self._start_next()
+        if not self.ignores_input:
+            self._parse(data)
+            self._start_next()
+
+    def _parse(self, data: bytes) -> None:
+        """Feeds input to the parser; a request that offers another protocol is parsed as if it did not."""
+        while True:
+            try:
+                return self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as offer:
+                if self.ignores_input:
+                    return
+                parsed_bytes, parser = offer.args[0], self.parser
+                head = head_without_offer(parser.get_method(), self.url, parser.get_http_version(), self.headers)
+                data = head + data[parsed_bytes:]
+                self.parser = httptools.HttpRequestParser(self)
+            except httptools.HttpParserError:
+                return self._reject(Reply(400, {"error_message": "malformed HTTP request"}))
 
     def _reject(self, reply: Reply) -> None:
         """Queues an error reply, and ignores all input after it."""
@@ -108,13 +122,22 @@
 
     def on_message_begin(self) -> None:
         self.url, self.body, self.body_size = b"", [], 0
+        self.headers, self.has_offer = [], False
 
     def on_url(self, url: bytes) -> None:
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        if (method := self.parser.get_method()) in UNSUPPORTED_METHODS:
+            return self._reject(Reply(405, {"error_message": f"{method.decode()} is not supported"}))
+        if self.parser.should_upgrade():
+            self.has_offer = True   # `_parse` parses it anew without the offer
+            return
         # With a request before this one, the caller would take the 100 for the answer to that.
-        if name.lower() == b"expect" and self.active is None and not self.queue:
+        if self.active is None and not self.queue and any(name == b"expect" for name, _ in self.headers):
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -123,7 +146,7 @@
             self.body.append(body)
 
     def on_message_complete(self) -> None:
-        if self.ignores_input:
+        if self.ignores_input or self.has_offer:
             return
         keep_alive, method = self.parser.should_keep_alive(), self.parser.get_method().decode()
         try:
