config: what the registry accepts is what every proxy compiles and serves

Cause: the schema had defaults, conversions and no bounds where the compiled version has none of these; the registry checked, but didn't compile. Change: `check_and_compile` checks without conversions (3.0 passes for 3), with bounds, compiles and encodes; the registry agrees on just these bytes. The operator's tool uses it, too.

--- a/fennelpoint/system/config_schema.py
+++ b/fennelpoint/system/config_schema.py
@@ -5,25 +5,43 @@
 
 from __future__ import annotations
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from typing import Annotated
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError, model_validator
 from result import Err, Ok, Result
 
+from fennelpoint.system.config_versions import ConfigVersion, encode
 from fennelpoint.system.failure import Failure
 
+MAX_NUMBER = 1e9    # of any unit: sums and products of such numbers stay finite
+MAX_RANK = (1 << 31) - 1
+
+
+def _to_integer(value: object) -> object:
+    """Turn 3.0 into 3: some JSON writers know one kind of number only."""
+    return int(value) if isinstance(value, float) and value.is_integer() else value
+
+
+Integer = Annotated[int, BeforeValidator(_to_integer)]
+Count = Annotated[Integer, Field(gt=0)]
+Rank = Annotated[Integer, Field(ge=0, le=MAX_RANK)]
+Amount = Annotated[float, Field(ge=0, le=MAX_NUMBER)]
+Duration = Annotated[float, Field(gt=0, le=MAX_NUMBER)]     # in s
+
 
 class _Form(BaseModel):
-    """A part of the configuration; unknown fields are ignored."""
+    """A part of the configuration; unknown fields are ignored, and no value is converted to another type."""
 
-    model_config = ConfigDict(extra="ignore")
+    model_config = ConfigDict(extra="ignore", strict=True, allow_inf_nan=False)
 
 
 class Limits(_Form):
     """Limits on client connections and requests."""
 
-    header_bytes: int = Field(16384, gt=0)
-    body_bytes: int = Field(1 << 26, gt=0)
-    header_timeout_s: float = Field(3.0, gt=0)
-    idle_timeout_s: float = Field(15.0, gt=0)
+    header_bytes: Count = 16384
+    body_bytes: Count = 1 << 26
+    header_timeout_s: Duration = 3.0
+    idle_timeout_s: Duration = 15.0
 
 
 class Tenant(_Form):
@@ -31,9 +49,9 @@
 
     name: str = Field(min_length=1)
     api_keys: list[str] = []
-    route_priority: int = 0
-    rate_per_s: float = Field(0.0, ge=0)
-    burst_size: float = Field(0.0, ge=0)
+    route_priority: Rank = 0
+    rate_per_s: Amount = 0.0
+    burst_size: Amount = 0.0
     home_regions: list[str] = []
 
 
@@ -47,7 +65,7 @@
     """One service of a traffic split, with its weight."""
 
     service: str
-    traffic_weight: float = Field(ge=0)
+    traffic_weight: Amount
 
 
 class Action(_Form):
@@ -55,8 +73,8 @@
 
     service: str | None = None
     traffic_split: list[Split] = []
-    request_timeout_s: float = Field(gt=0)
-    max_attempts: int = Field(1, ge=1)
+    request_timeout_s: Duration
+    max_attempts: Count = 1
     home_regions: list[str] = []
 
     @model_validator(mode="after")
@@ -78,8 +96,8 @@
 
     name: str = Field(min_length=1)
     kind: str
-    target_latency_s: float = Field(1.0, gt=0)
-    route_priority: int = 0
+    target_latency_s: Duration = 1.0
+    route_priority: Rank = 0
     public: bool = False
     match_criteria: Match
     route_action: Action
@@ -89,7 +107,7 @@
     """The rules of one host."""
 
     host: str = Field(min_length=1)
-    rule_set: list[Rule] = []
+    rule_set: list[Rule]
 
 
 class Cluster(_Form):
@@ -97,16 +115,16 @@
 
     name: str = Field(min_length=1)
     health_path: str = "/health"
-    connection_limit: int = Field(100, gt=0)
-    cold_start_s: float = Field(0.0, ge=0)
-    cold_rate_s: float = Field(0.0, ge=0)
+    connection_limit: Count = 100
+    cold_start_s: Amount = 0.0
+    cold_rate_s: Amount = 0.0
 
 
 class Configuration(_Form):
     """A configuration as the operator sends it."""
 
-    version: int = Field(gt=0)
-    base_version: int = 0
+    version: Count
+    base_version: Integer = 0
     limits: Limits = Limits()
     tenants: list[Tenant] = []
     listener_table: list[Listener]
@@ -128,11 +146,18 @@
         return self
 
 
-def check(value: dict) -> Result[Configuration, Failure]:
-    """Validates a configuration; the failure names the first invalid field and the reason."""
+def check_and_compile(value: dict) -> Result[bytes, Failure]:
+    """Validates a configuration and compiles it as every proxy does; returns it encoded, as it is agreed.
+
+    The failure names the field and the reason.
+    """
     try:
-        return Ok(Configuration.model_validate(value))
+        Configuration.model_validate(value)
+        ConfigVersion(value)
+        return Ok(encode(value))
     except ValidationError as error:
         first = error.errors()[0]
         field_path = ".".join(map(str, first["loc"])) or "configuration"
         return Err(Failure("configuration", "", f"{field_path}: {first['msg']}", 400))
+    except ValueError as error:     # of a text or a number that JSON in UTF-8 cannot hold, in any field
+        return Err(Failure("configuration", "", f"a value cannot be stored: {error}", 400))
--- a/fennelpoint/system/config_versions.py
+++ b/fennelpoint/system/config_versions.py
@@ -110,8 +110,8 @@
 
 
 def encode(value: dict) -> bytes:
-    """Returns a configuration as compact JSON."""
-    return json.dumps(value, separators=(",", ":"), ensure_ascii=False).encode()
+    """Returns a configuration as compact JSON; ValueError for a number or a text that JSON in UTF-8 cannot hold."""
+    return json.dumps(value, separators=(",", ":"), ensure_ascii=False, allow_nan=False).encode()
 
 
 def digest(data: bytes) -> str:
@@ -153,6 +153,30 @@
     idle_timeout_s: float
 
 
+class HostRoutes:
+    """The routes of one host, by their path prefixes."""
+
+    def __init__(self) -> None:
+        self.by_prefix: dict[str, Route] = {}
+        self.without_slash: list[str] = []  # prefixes that do not end with a slash, the longest first
+
+    def add(self, prefix: str, route: Route) -> None:
+        """Add a route, or replace the one with the same prefix."""
+        if not prefix.endswith("/") and prefix not in self.by_prefix:
+            self.without_slash.append(prefix)
+            self.without_slash.sort(key=len, reverse=True)
+        self.by_prefix[prefix] = route
+
+    def find(self, path: str) -> Route | None:
+        """Return the route whose prefix is the longest that begins the path."""
+        open_prefix = next((prefix for prefix in self.without_slash if path.startswith(prefix)), "")
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= len(open_prefix):
+            if (route := self.by_prefix.get(path[:end + 1])) is not None:
+                return route
+        return self.by_prefix.get(open_prefix)
+
+
 class ConfigVersion:
     """A configuration as a proxy uses it: routes by host and path prefix, tenants by API key."""
 
@@ -160,15 +184,15 @@
         limits = value.get("limits") or {}
         self.number = value["version"]
         self.limits = Limits(float(limits.get("header_timeout_s", 3.0)), float(limits.get("idle_timeout_s", 15.0)))
-        self.routes_by_host: dict[str, dict[str, Route]] = {}
+        self.routes_by_host: dict[str, HostRoutes] = {}
         # Duration of the cold start (s) and the request rate during it (1/s), by service.
         self.clusters = {
             cluster["name"]: (float(cluster.get("cold_start_s") or 0.0), float(cluster.get("cold_rate_s") or 0.0))
             for cluster in value["clusters"]}
         for listener in value["listener_table"]:
-            table = self.routes_by_host.setdefault(listener["host"].lower(), {})
+            routes = self.routes_by_host.setdefault(listener["host"].lower(), HostRoutes())
             for rule in listener["rule_set"]:
-                table[rule["match_criteria"]["path_prefix"]] = _route(rule)
+                routes.add(rule["match_criteria"]["path_prefix"], _route(rule))
         # Also where there is no tenant left, or none with a key: then no request has one that is known.
         self.requires_keys = value.get("tenants") is not None
         self.tenants, self.tenant_by_key = [], {}
@@ -181,15 +205,9 @@
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route of the host whose prefix is the longest that matches the path."""
         host = host.lower()
-        if (table := self.routes_by_host.get(host)) is None:
-            table = self.routes_by_host.get(host.rpartition(":")[0])
-        if table is None:
-            return None
-        end = len(path)
-        while (end := path.rfind("/", 0, end)) >= 0:
-            if (route := table.get(path[:end + 1])) is not None:
-                return route
-        return None
+        if (routes := self.routes_by_host.get(host)) is None:
+            routes = self.routes_by_host.get(host.rpartition(":")[0])
+        return None if routes is None else routes.find(path)
 
 
 def _route(rule: dict) -> Route:
--- a/fennelpoint/system/operator_cli.py
+++ b/fennelpoint/system/operator_cli.py
@@ -128,14 +128,14 @@
     if isinstance(read, Err):
         return _fail(read.err_value, EXIT_INVALID_INPUT)
     value = read.ok_value
-    from fennelpoint.system.config_schema import check
+    from fennelpoint.system.config_schema import check_and_compile
 
     current = call(cores, "GET", "/api/configuration") if is_dry_run or method == "PATCH" else Ok(b"{}")
     if isinstance(current, Err) and current.err_value.status != 404:
         return _fail(current.err_value, EXIT_INCONCLUSIVE)
     before = json.loads(current.ok_value) if isinstance(current, Ok) else {}
     merged = config_versions.merge(before, value) if method == "PATCH" else Ok(value)
-    validated = merged.and_then(check)
+    validated = merged.and_then(check_and_compile)
     if isinstance(validated, Err):
         return _fail(validated.err_value, EXIT_INVALID_INPUT)
     if is_dry_run:
--- a/fennelpoint/system/registry/operator_handlers.py
+++ b/fennelpoint/system/registry/operator_handlers.py
@@ -13,6 +13,7 @@
 from result import Err, Result
 
 from fennelpoint.system import config_versions
+from fennelpoint.system.failure import Failure
 from fennelpoint.system.http_server import ApiRequest, Reply
 from fennelpoint.system.registry.allocation_leader import AllocationLeader
 from fennelpoint.system.registry.backend_table import DRAINING, BackendTable
@@ -28,11 +29,11 @@
 SNAPSHOT_FIELDS = ("version", "past", "evac")   # of the agreed state, in a snapshot beside the configuration
 
 
-def _validate(value: dict) -> Result:
-    """Check a configuration by pydantic, imported at the first change: this halves a registry's start-up time."""
-    from fennelpoint.system.config_schema import check
+def _check_and_compile(value: dict) -> Result[bytes, Failure]:
+    """Check, compile and encode a configuration; pydantic is imported at the first one, for a quick start."""
+    from fennelpoint.system.config_schema import check_and_compile
 
-    return check(value)
+    return check_and_compile(value)
 
 
 class RegistryContext(Protocol):
@@ -97,23 +98,20 @@
     def _call_put(self, request: ApiRequest, now: float) -> None:
         decoded = config_versions.decode(request.body).and_then(
             lambda value: config_versions.version_numbers(value).and_then(
-                lambda versions: _validate(value).map(lambda _: (value, versions))))
+                lambda versions: _check_and_compile(value).map(lambda encoded: (encoded, versions))))
         if isinstance(decoded, Err):
             return self.registry.answer(request, error_reply(decoded.err_value.status, str(decoded.err_value)))
-        value, (version, base) = decoded.ok_value
-        self._propose_configuration(request, now, version, base, config_versions.digest(b"PUT" + request.body), value,
-                                    self._base_may_arrive(base))
+        encoded, (version, base) = decoded.ok_value
+        self._propose_configuration(request, now, version, base, config_versions.digest(b"PUT" + request.body),
+                                    encoded, self._base_may_arrive(base))
 
     def _base_may_arrive(self, base: int) -> bool:
         """Whether a 412 may be temporary: the base version may arrive while another machine holds the same call."""
         return base > self.registry.cluster_state.get("version", 0)
 
     def _propose_configuration(self, request: ApiRequest, now: float, version: int, base: int, request_digest: str,
-                               value: dict, short_timeout: bool) -> None:
-        try:
-            data = zlib.compress(config_versions.encode(value), 1)
-        except UnicodeEncodeError as error:
-            return self.registry.answer(request, error_reply(400, f"configuration has invalid text: {error.reason}"))
+                               encoded: bytes, short_timeout: bool) -> None:
+        data = zlib.compress(encoded, 1)
         self._change(request, now, "put", [version, base, request_digest, config_versions.digest(data)], data,
                      short_timeout)
 
@@ -137,8 +135,7 @@
 
         def apply_patch(digest: str) -> None:
             base_value = config_versions.decode(zlib.decompress(self.registry.contents[digest])).unwrap()
-            merged = config_versions.merge(base_value, value).and_then(
-                lambda merged_value: _validate(merged_value).map(lambda _: merged_value))
+            merged = config_versions.merge(base_value, value).and_then(_check_and_compile)
             if isinstance(merged, Err):
                 return self.registry.answer(request, error_reply(merged.err_value.status, str(merged.err_value)))
             self._propose_configuration(request, now, version, base, request_digest, merged.ok_value, short_timeout)
@@ -180,11 +177,10 @@
     def _call_revive(self, request: ApiRequest, now: float) -> None:
         """Restore a snapshot into a new core; a core that holds any configuration rejects it."""
         decoded = config_versions.decode(request.body).and_then(config_versions.check_snapshot)
-        validated = decoded.and_then(lambda value: _validate(value["configuration"]))
-        if isinstance(validated, Err):
-            return self.registry.answer(request, error_reply(validated.err_value.status, str(validated.err_value)))
-        value = decoded.ok_value
-        data = zlib.compress(config_versions.encode(value["configuration"]), 1)
+        encoded = decoded.and_then(lambda value: _check_and_compile(value["configuration"]))
+        if isinstance(encoded, Err):
+            return self.registry.answer(request, error_reply(encoded.err_value.status, str(encoded.err_value)))
+        value, data = decoded.ok_value, zlib.compress(encoded.ok_value, 1)
         self._change(request, now, "revive", [value["version"], config_versions.digest(data), value["past"],
                                               value["evac"], value.get("floor")], data)
 
--- a/tests/system/test_proxy.py
+++ b/tests/system/test_proxy.py
@@ -12,7 +12,7 @@
 from fennelpoint.net.backends import Exchange
 from fennelpoint.net.controller_runtime import Clock
 from fennelpoint.net.request_parser import BadRequest, LocalReply
-from fennelpoint.system.config_schema import check
+from fennelpoint.system.config_schema import check_and_compile
 from fennelpoint.system.config_versions import ConfigVersion, merge
 from fennelpoint.system.proxy.controller import ProxyController
 from fennelpoint.system.proxy.controller_host import ProxyBackends
@@ -108,7 +108,7 @@
     value = make_configuration()
     for number, change in enumerate(changes, value["version"] + 1):
         value = merge(value, {"version": number, "base_version": number - 1, **change}).unwrap()
-        assert isinstance(check(value), Ok)
+        assert isinstance(check_and_compile(value), Ok)
     return make_reader(configuration=value)
 
 
