proxy: a lease counts only for a version that is in force

Cause: `CoreSession._on_content` counted the version as applied, and extended the lease, when its content arrived; the program compiled it only afterwards. Evidence: test_a_version_that_cannot_be_compiled_extends_no_lease_and_gives_way_to_the_next, red before (KeyError: 'rule_set'). Change: the program tells the session that a version is in force (`handle_applied`) or can't be used (`handle_unusable`): then there is no lease on it, it isn't requested again, event 405 and the reason of the lapse name it, and the next version takes its place. The test of the session delivers content as the program does.

--- a/fennelpoint/system/events.py
+++ b/fennelpoint/system/events.py
@@ -58,6 +58,8 @@
     CLIENTS_LEFT = (404, "info", "{node}: {clients} clients left with attempts out; {ended} attempts were ended, "
                     "{running} run on", "Work for them is cancelled where that is allowed; requests that must not "
                     "run twice run to their end.")
+    UNUSABLE = (405, "error", "{node} cannot use version {version}: {reason}", "A version that was agreed cannot be "
+                "compiled: the proxy holds no lease until a newer one arrives.")
     VIOLATED = (500, "error", "{node}: {invariant} is violated, {count} so far: {detail}", "A defect of this "
                 "program: an invariant did not hold. Service continues; report it with the log.")
 
--- a/fennelpoint/system/proxy/core_session.py
+++ b/fennelpoint/system/proxy/core_session.py
@@ -59,6 +59,7 @@
     core_revision: int = -1     # revision of `core_zones`
     applied_digest: str = ""    # of the configuration in force here
     applied_version: int = 0
+    unusable_digest: str = ""   # of a configuration that cannot be compiled here
     confirmed_at: float = -1e9  # when the newest request was sent that confirmed the applied configuration as newest
     lease_expires_at: float = 0.0
     has_lease: bool = False
@@ -244,6 +245,8 @@
         last = f"the last answered renewal was sent {now - self.answered_at:.2f} s ago"
         if self.awaiting_content:
             return f"configuration version {self.latest_version} has not arrived; {last}"
+        if self.latest_digest and self.latest_digest == self.unusable_digest:
+            return f"configuration version {self.latest_version} cannot be used; {last}"
         return f"no core machine answers; {last}"
 
     def request_units(self, needs: dict[str, int], now: float) -> list:
@@ -362,7 +365,7 @@
         if frozenset(evacuated) != self.evacuated_zones:
             self.evacuated_zones = frozenset(evacuated)
             self.actions.append(RefreshBackends())
-        if digest and digest != self.applied_digest:
+        if digest and digest not in (self.applied_digest, self.unusable_digest):
             self.awaiting_content.setdefault(digest, [])
             self._request_content(now)
 
@@ -374,13 +377,21 @@
             self._send(self.relay, ["pass", ["need", self.latest_digest]])
 
     def _on_content(self, peer: str, now: float, digest: str, data: bytes) -> None:
-        if digest != self.latest_digest or digest == self.applied_digest:
-            return
-        self.applied_digest, self.applied_version = digest, self.latest_version
-        self.actions.append(ApplyConfig(self.latest_version, data))
+        if digest == self.latest_digest and digest not in (self.applied_digest, self.unusable_digest):
+            self.actions.append(ApplyConfig(self.latest_version, digest, data))
+
+    def handle_applied(self, version: int, digest: str, now: float) -> list:
+        """The configuration of an `ApplyConfig` is in force here: the lease counts from now on."""
+        self.applied_digest, self.applied_version = digest, version
         sending_times = self.awaiting_content.get(digest, [])
         self.awaiting_content.clear()
         self._extend_lease(max(sending_times, default=self.confirmed_at), now)
+        return self._take_actions()
+
+    def handle_unusable(self, digest: str) -> None:
+        """The configuration of an `ApplyConfig` cannot be compiled here: no lease until a newer one arrives."""
+        self.unusable_digest = digest
+        self.awaiting_content.clear()
 
     def _on_lease(self, peer: str, now: float, request: int, revision: int, version: int, digest: str,
                   evacuated: list, term: int) -> None:
@@ -405,7 +416,7 @@
             return
         if self.applied_digest == self.latest_digest:
             self._extend_lease(sent_at, now)
-        elif revision == self.revision:
+        elif revision == self.revision and self.latest_digest != self.unusable_digest:
             self.awaiting_content.setdefault(self.latest_digest, []).append(sent_at)
 
     def _extend_lease(self, sent_at: float, now: float) -> None:
--- a/fennelpoint/system/proxy/program.py
+++ b/fennelpoint/system/proxy/program.py
@@ -141,8 +141,8 @@
             match action:
                 case Send(to, message):
                     self.mesh.send(to, message)
-                case ApplyConfig(version, data):
-                    self._apply_config(version, data)
+                case ApplyConfig(version, digest, data):
+                    self._apply_config(version, digest, data)
                 case RefreshBackends():
                     self._schedule_refresh()
                 case LeaseChanged(has_lease, reason):
@@ -184,8 +184,13 @@
         self.session.is_ready = self.life_cycle.is_ready
         self.carry_out(self.session.renew_now(now))
 
-    def _apply_config(self, number: int, data: bytes) -> None:
-        version = compile_version(zlib.decompress(data))
+    def _apply_config(self, number: int, digest: str, data: bytes) -> None:
+        """Put a version in force; one that cannot be compiled changes nothing here, and gets no lease."""
+        try:
+            version = compile_version(zlib.decompress(data))
+        except Exception as error:
+            log_event(Event.UNUSABLE, node=self.settings.node_name, version=number, reason=repr(error))
+            return self.session.handle_unusable(digest)
         self.reader.apply_version(version)
         self.server.idle_timeout_s = max(5.0, version.limits.idle_timeout_s)
         self.server.head_timeout_s = max(2.5, version.limits.header_timeout_s)
@@ -193,6 +198,7 @@
         self._update_shares()
         self._refresh_backends()
         log_event(Event.APPLIED, node=self.settings.node_name, version=number)
+        self.carry_out(self.session.handle_applied(number, digest, time.monotonic()))
 
     def update_catalogue(self) -> None:
         """Post all classes, plans and cells to the controller, after a new version, class or cell."""
--- a/fennelpoint/system/proxy/session_actions.py
+++ b/fennelpoint/system/proxy/session_actions.py
@@ -7,9 +7,10 @@
 
 @dataclass(slots=True)
 class ApplyConfig:
-    """Apply this configuration; `data` is its compressed content."""
+    """Apply this configuration, and tell the session whether it is in force; `data` is its compressed content."""
 
     version: int
+    digest: str
     data: bytes
 
 
--- a/fennelpoint/testing/core_simulation.py
+++ b/fennelpoint/testing/core_simulation.py
@@ -248,10 +248,11 @@
             match action:
                 case Send(to, message):
                     self.send(peer_name("span", proxy.ip), to, message)
-                case ApplyConfig(version, _):
+                case ApplyConfig(version, digest, _):
                     if version < proxy.version:
                         raise CheckFailed(f"{self.now:.2f}: {proxy.ip} goes back from {proxy.version} to {version}")
                     proxy.version = version
+                    self._run_session_actions(proxy, proxy.session.handle_applied(version, digest, self.now))
                 case UnitsReceived(granted, denied, _, expires_at) if self.now <= expires_at:
                     for index, units_by_tenant in enumerate((granted, denied)):
                         for tenant, units in units_by_tenant.items():
--- a/tests/system/test_proxy_process.py
+++ b/tests/system/test_proxy_process.py
@@ -245,6 +245,30 @@
     asyncio.run(asyncio.wait_for(play(), 10.0))
 
 
+# Guards the rule CONFIG: a lease on a version that isn't in force here would keep the older one serving for good.
+def test_a_version_that_cannot_be_compiled_extends_no_lease_and_gives_way_to_the_next() -> None:
+    async def play() -> None:
+        booking = Booking()
+        booking.may_answer.set()
+        proxy = await start_proxy(booking.serve)
+        session, expires_at = proxy.program.session, proxy.program.session.lease_expires_at
+        unusable = deepcopy(CONFIGURATION) | {"version": 7, "base_version": 3}
+        del unusable["listener_table"][0]["rule_set"]
+        for _ in range(3):
+            proxy.agree(unusable, 2)
+        assert session.applied_version == 3 and session.lease_expires_at == expires_at
+        assert not session.awaiting_content     # it is not requested for ever
+        assert "version 7 cannot be used" in session._lapse_reason(time.monotonic())
+        proxy.expire_lease()
+        assert (await post(proxy.public, "b1")).startswith(b"HTTP/1.1 503") and not await is_ready(proxy.readiness)
+        proxy.agree(deepcopy(CONFIGURATION) | {"version": 9, "base_version": 7}, 3)
+        assert session.applied_version == 9
+        assert (await post(proxy.public, "b2")).startswith(b"HTTP/1.1 200") and booking.attempt_ids == ["b2"]
+        proxy.program.close()
+
+    asyncio.run(asyncio.wait_for(play(), 10.0))
+
+
 # Guards the rule CONFIG: no request is answered by an older version later than `config_apply_s` after the
 # acknowledgement of its successor.
 def test_a_lease_expires_before_a_change_must_be_in_force() -> None:
