store: an evacuation's order takes effect only if no other one came before it

Cause: an order bears no number, so a change that its store goes on with after a pause applies to whatever state is newest. Change: the agreed state counts each zone's orders; a registry proposes an order with the number it knew when the order came, and the change checks it where it is applied: another number means 503 and no effect. An order that changes nothing counts, too, so a second thought of the operator is newer than a first that is on its way.

--- a/fennelpoint/system/registry/operator_handlers.py
+++ b/fennelpoint/system/registry/operator_handlers.py
@@ -21,6 +21,7 @@
 from fennelpoint.system.registry.membership import Membership
 from fennelpoint.system.registry.pending_calls import PendingCall, error_reply
 from fennelpoint.system.store.idempotency import floor_of, upgrade
+from fennelpoint.system.store.replicated_state import order_number
 
 CHANGE_TIMEOUT_S = 3.0  # for the store to answer
 # For calls that must have ended before their caller, after a second without an answer, sends them to another machine.
@@ -158,12 +159,21 @@
     def _call_get(self, request: ApiRequest, now: float) -> None:
         self._answer_from_newest(request, now, lambda cluster_state, configuration: Reply(200, raw=configuration))
 
-    # An evacuation carries no version: without the short timeout, a delayed one could undo a later restore.
     def _call_evacuate(self, request: ApiRequest, now: float) -> None:
-        self._change(request, now, "evacuate", [request.segment, True], short_timeout=True)
+        self._order_evacuation(request, now, True)
 
     def _call_restore(self, request: ApiRequest, now: float) -> None:
-        self._change(request, now, "evacuate", [request.segment, False], short_timeout=True)
+        self._order_evacuation(request, now, False)
+
+    def _order_evacuation(self, request: ApiRequest, now: float, on: bool) -> None:
+        """Propose an order, fenced by the number that the zone's orders have reached by now.
+
+        An order carries no version of its own: without the fence and the short timeout, one that is late could undo
+        a newer one.
+        """
+        zone = request.segment
+        number = order_number(self.registry.cluster_state, zone)
+        self._change(request, now, "evacuate", [zone, on, number], short_timeout=True)
 
     # Recovery of a core that was lost for good
 
--- a/fennelpoint/system/store/replicated_state.py
+++ b/fennelpoint/system/store/replicated_state.py
@@ -29,7 +29,7 @@
 def initial_state(voters: dict[str, str]) -> dict:
     """The state that a newly founded core agrees on; `voters` are zones by IP address."""
     return {"rev": 0, "voters": voters, "before": {}, "ready": {}, "version": 0, "digest": "", "past": [],
-            "log": [], "floor": 0, "evac": [], "fronts": {}, "term": 0}
+            "log": [], "floor": 0, "evac": [], "evac_orders": {}, "fronts": {}, "term": 0}
 
 
 def groups_of(state: object) -> Groups:
@@ -104,12 +104,25 @@
     return Change(lambda state, outcome: archive(state, moved, last, segment, replaces), segment[1])
 
 
-def evacuate(zone: str, on: bool) -> Change:
-    """Begins or ends the evacuation of a zone."""
+def order_number(state: dict, zone: str) -> int:
+    """How many orders on the evacuation of a zone were agreed: the fencing token of the next one."""
+    return state.get("evac_orders", {}).get(zone, 0)
+
+
+def evacuate(zone: str, on: bool, number: int | None = None) -> Change:
+    """Begins or ends the evacuation of a zone, unless another order was agreed since the caller's was received.
+
+    `number` is the zone's order number at that time; None: of a registry that does not know it yet.  An order that
+    changes nothing counts as well: it, too, is newer than one that is still on its way.
+    """
     def apply(state: dict, outcome: Outcome) -> dict:
-        if (zone in state["evac"]) is on:
+        agreed = order_number(state, zone)
+        if number not in (agreed, None):
+            outcome.status, outcome.reason = 503, f"another order on zone {zone} came first"
             return state
-        return {**state, "evac": sorted({*state["evac"], zone} if on else {*state["evac"]} - {zone})}
+        zones = {*state["evac"], zone} if on else {*state["evac"]} - {zone}
+        orders = {**state.get("evac_orders", {}), zone: agreed + 1}
+        return {**state, "evac": sorted(zones), "evac_orders": orders}
     return Change(apply)
 
 
