store: a round does not count its own promise or vote that the disk refused

Cause: a proposer counts its own answer in memory when it gives it; if its disk then refuses the write, the answers of the others (`seen`, `voted`) still complete the round. Evidence: test_promise_or_vote_that_the_own_disk_refused_does_not_count, red before for both: with two of three voters in touch the change was agreed by one vote on disk. Change: when the disk refuses, rounds under way are given up, and the own answer to a read as well; another round begins once the disk has taken all. Until then the caller gets 503 and goes to another machine, as before.

--- a/fennelpoint/system/store/replica.py
+++ b/fennelpoint/system/store/replica.py
@@ -317,6 +317,10 @@
         self.disk_error = reason
         for pending in self.pending_changes:
             pending.holders -= {self.me}    # whether the content is stored here is checked again
+            # Its own promise or vote may not be on disk, so no round may count it: another one begins later.
+            pending.round, pending.expires_at = None, 0.0
+        if self.reading is not None:
+            self.reading["answers"].pop(self.me, None)
 
     def disk_recovered(self) -> None:
         """The disk holds everything that memory does."""
--- a/tests/system/test_ballots.py
+++ b/tests/system/test_ballots.py
@@ -2,6 +2,8 @@
 
 from random import Random
 
+import pytest
+
 from fennelpoint.fleet.register import (
     ZERO,
     Acceptor,
@@ -174,3 +176,32 @@
     replica.disk_recovered()
     (reply,) = [a for a in replica.receive("c", ["peek", 6, [0, ""], 0], 2.7) if isinstance(a, Send)]
     assert reply.message[-1]["version"] == 7
+
+
+def sent_kinds(actions: list) -> set[str]:
+    return {action.message[0] for action in actions if isinstance(action, Send)}
+
+
+# Guards what is acknowledged: a vote that is not on the proposer's own disk is lost with its power.
+@pytest.mark.parametrize("refused", ["promise", "vote"])
+def test_promise_or_vote_that_the_own_disk_refused_does_not_count(refused: str) -> None:
+    """Three voters, one of them out of reach: the other one and the proposer's own are a majority."""
+    proposer, voter = (Replica(name, "za", REGIONS, list("abc"), Acceptor(name, 0, False, {}, {}), True, {}.get,
+                               Random(1), 0.0) for name in "ab")
+    for replica in (proposer, voter):
+        replica._take_actions()
+    actions = proposer.receive("roll", ["change", 1, "evacuate", ["zb", True], b""], 0.0)
+    assert any(isinstance(action, Save) for action in actions)
+    kinds: set[str] = set()
+    if refused == "promise":
+        proposer.disk_failed("the disk is full")
+    for now in (0.01, 0.02):    # the prepare, then the accept, and their answers
+        for to_voter in [a.message for a in actions if isinstance(a, Send) and a.to == "b"]:
+            answers = [a.message for a in voter.receive("a", to_voter, now) if isinstance(a, Send) and a.to == "a"]
+            actions = [action for answer in answers for action in proposer.receive("b", answer, now)]
+            kinds |= sent_kinds(actions)
+            if refused == "vote" and any(isinstance(action, Save) for action in actions):
+                proposer.disk_failed("the disk is full")
+    assert "changed" not in kinds and not proposer.state.get("evac")
+    proposer.disk_recovered()
+    assert "prepare" in sent_kinds(proposer.tick(1.0))      # it begins a new round once the disk is well
