registry: a backend that left stays gone after a restart of the machines that knew of it

Cause: `BackendTable.restore` left out the rows of backends that are gone; their rows also stayed on disk for good.

--- a/fennelpoint/system/registry/backend_table.py
+++ b/fennelpoint/system/registry/backend_table.py
@@ -121,14 +121,14 @@
     def restore(self, rows: list[list], cold_s: float, now: float) -> None:
         """Load rows from disk.
 
-        Whether these backends are still alive is unknown, and so is whether they are cold: they count as cold.
+        Whether these backends are still alive is unknown, and so is whether they are cold: they count as cold.  One
+        that has left stays so for as long as a late heartbeat could bring it back.
         """
         for row in rows:
             report = BackendReport(*row)
-            if report.state != GONE:
-                report.cold_s, report.age_s = cold_s, 0.0
-                self.merge(report, now)
-                self.by_id[report.id].confirmed_at = now - UNKNOWN_AGE_S
+            report.cold_s, report.age_s = 0.0 if report.state == GONE else cold_s, 0.0
+            self.merge(report, now)
+            self.by_id[report.id].confirmed_at = now - UNKNOWN_AGE_S
 
     def sweep(self, now: float, heartbeat_s: float) -> tuple[list[Backend], list[str]]:
         """Mark silent backends as lost, and forget expired tombstones.
