programs: SIGHUP is held while a program starts, and followed once it runs

Cause: the signal was ignored only after the imports, which take most of the start; until then its default ends the process. From then until the handler was set a reload was lost. Evidence: test_reload_of_a_program_that_starts_is_followed_once_it_runs, red before for span, roll and writ. Change: `held_signals` blocks SIGHUP before the other imports and lets it through once the program runs; the kernel keeps it meanwhile. The ingress that runs alone does the same. A settings file that changes between its first reading and the start is read again (by reading of the code; its stamp is taken before the file is read now).

--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+if __name__ == "__main__":
+    from fennelpoint import held_signals
+
+    held_signals.hold()     # before the imports that take most of the start
+
 import asyncio
 import gc
 import json
@@ -16,6 +21,7 @@
 
 import uvloop
 
+from fennelpoint import held_signals
 from fennelpoint import interface as api
 from fennelpoint.body_buffering import Budget, budget_of
 from fennelpoint.components import create_components
@@ -294,6 +300,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ingress.stop)
     await ingress.start()
+    held_signals.release()
     gc.collect()
     gc.freeze()     # objects that live as long as the process are not scanned again
     gc.set_threshold(*GC_THRESHOLDS)
@@ -303,7 +310,7 @@
 
 def main() -> int:
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s")
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)    # until the handler is set: the file is about to be read anyway
+    held_signals.hold()
     try:
         path = os.environ.get("BALANCER_CONFIG")
         if not path:
--- a/fennelpoint/system/__main__.py
+++ b/fennelpoint/system/__main__.py
@@ -10,6 +10,11 @@
 
 from __future__ import annotations
 
+if __name__ == "__main__":
+    from fennelpoint import held_signals
+
+    held_signals.hold()     # before the imports that take most of the start
+
 import asyncio
 import gc
 import os
@@ -20,6 +25,7 @@
 from docopt import docopt
 from result import Err
 
+from fennelpoint import held_signals
 from fennelpoint.invariants import violations
 from fennelpoint.system import settings as settings_file
 from fennelpoint.system.events import Event, log_event, log_to_stderr
@@ -27,8 +33,8 @@
 SETTINGS_POLL_S = 2.0   # the settings file may change without a signal
 
 
-async def serve(role: str, settings: settings_file.Settings, path: str) -> None:
-    """Runs one program until it has shut down."""
+async def serve(role: str, settings: settings_file.Settings, path: str, applied_stamp: tuple) -> None:
+    """Runs one program until it has shut down; `applied_stamp` is the settings file's from before it was read."""
     loop = asyncio.get_running_loop()
     if role == "span":
         from fennelpoint.system.proxy.program import Program
@@ -37,7 +43,6 @@
     else:
         from fennelpoint.system.store.program import Program
     program = Program(loop, settings)
-    applied_stamp = _file_stamp(path)
 
     def reload() -> None:
         nonlocal applied_stamp
@@ -58,6 +63,7 @@
     violations.report = lambda invariant, detail, count: log_event(
         Event.VIOLATED, node=settings.node_name, invariant=invariant.name, count=count, detail=detail)
     await program.start()
+    held_signals.release()
     log_event(Event.START, role=role, node=settings.node_name)
     loop.call_later(SETTINGS_POLL_S, watch)
     gc.collect()
@@ -81,13 +87,13 @@
     arguments = docopt(__doc__, argv)
     role = next(name for name in ("span", "roll", "writ") if arguments[name])
     log_to_stderr()
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    held_signals.hold()
     path = arguments["--settings"] or os.environ.get(settings_file.SETTINGS_VARIABLE, "")
-    result = settings_file.read(path)
+    stamp, result = _file_stamp(path), settings_file.read(path)
     if isinstance(result, Err):
         log_event(Event.BAD_SETTINGS, reason=result.err_value)
         return 2
-    uvloop.run(serve(role, result.ok_value, path))
+    uvloop.run(serve(role, result.ok_value, path, stamp))
     return 0
 
 
