proxy: a silence within an answer ends nothing before the request's time is up

Cause: `STALL_TIMEOUT_S` ended an exchange 0.5 s after its last byte, in both protocols. It was for a backend that declares more than it sends and holds the connection. Evidence: tests/system/test_silent_answers.py, 7 of 7 red before: half of a body, half of a head and an interim answer, then 0.9 s of silence, repeatable or not; an answer that stays incomplete ended after 0.5 s of its 1.2 s. Change: the bound belongs to the pool's protocol. In the system the deadline and the route's time-out end such a request, and the connection is closed then; at the ingress that runs alone it is 0.5 s as before (its tests hold).

--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -33,7 +33,6 @@
 
 MAX_RECEIVED_BYTES = 2 * MAX_BUFFERED_BYTES     # of a buffered response with its head and framing
 NO_RECEIVER = "has no receiver any more"
-STALL_TIMEOUT_S = 0.5       # without a byte within a response, after which the rest is not expected any more
 LOCAL_SHORTAGE_ERRNOS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 DEFAULT_CONNECT_TIMEOUT_S = 0.25    # if the settings have none
 # Idle connections are closed after this fraction of the backend's idle timeout, well before the backend closes them.
@@ -357,9 +356,10 @@
     def check_stall(self, now: float) -> None:
         """End an exchange that makes no progress.
 
-        Otherwise a Content-Length above what is sent would hold the request until its deadline.
+        Otherwise a Content-Length above what is sent would hold the request, and a slot of the pool, until its
+        deadline; where the protocol allows a backend to pause, that is all that ends it.
         """
-        timeout_s = STALL_TIMEOUT_S if self.receiver is None else BODY_STALL_TIMEOUT_S
+        timeout_s = self.pool.RESPONSE_STALL_TIMEOUT_S if self.receiver is None else BODY_STALL_TIMEOUT_S
         if self.exchange is not None and 0.0 < self.last_received_at < now - timeout_s and not self.is_paused:
             self._fail("is incomplete")
         elif not (self.is_flushed or self.exchange is None or self.exchange.upload is None) and (
@@ -397,6 +397,8 @@
     # Whether the backends' protocol says that a request cannot run before its last byte has come; else a backend may
     # work on it as soon as it has the head.
     STARTS_AT_LAST_BYTE = True
+    # Without a byte within a response that is buffered, after which the rest is not expected any more (s).
+    RESPONSE_STALL_TIMEOUT_S = 0.5
 
     def __init__(self, loop: asyncio.AbstractEventLoop, max_connections: int, connect_timeout_s: float,
                  idle_timeout_s: float, budget: Budget) -> None:
--- a/fennelpoint/system/proxy/controller_host.py
+++ b/fennelpoint/system/proxy/controller_host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 
 from fennelpoint import interface as api
 from fennelpoint.net.backends import Backends, Exchange, Response, UpstreamConnection
@@ -18,6 +19,7 @@
     """Judges answers by the attempt id, the backend's seal and its statement that it has not run the request."""
 
     STARTS_AT_LAST_BYTE = False
+    RESPONSE_STALL_TIMEOUT_S = inf  # a silence is no reason to end an answer before its deadline
 
     def judge(self, exchange: Exchange, status: int, headers: list[tuple[bytes, bytes]]) -> api.Status | None:
         has_id = has_seal = is_not_executed = False
