proxy: a request with a slow body is answered at its client's deadline

Change: the reader says for how long a client waits from the head on. The connection answers a body that isn't there by then, 50 ms before, with 408 or, where a backend may have begun, 502; a body that is there in time leaves what is left of the deadline. The route's time-out counts from the last byte, as before.

--- a/fennelpoint/net/controller_host.py
+++ b/fennelpoint/net/controller_host.py
@@ -86,6 +86,7 @@
     is_head_request: bool = False   # its response has no body
     upload: Upload | None = None    # its body, if that is streamed
     upload_expected_s: float = 0.0  # seconds in which the rest of the upload should arrive
+    client_wait_s: float = inf      # until the client gives up, where that does not count from the last byte
     cell: str = ""          # the backends that may serve it, if the parser knows them
     attempts: int = 0       # maximum number of backends that it may be sent to; 0: as in the settings
 
@@ -102,6 +103,8 @@
     parsed: ParsedRequest
     client: Client | None   # None once it has its response or has left
     deadline: float
+    gives_up_at: float = inf        # when the client stops waiting, also while its body still arrives
+    complete_at: float = inf        # when the last byte of its upload arrived
     timer: asyncio.TimerHandle | None = None
     attempts: int = 0
     is_streaming: bool = False      # its response has begun to go out, so it has no deadline any more
@@ -191,6 +194,7 @@
         """
         self.last_id += 1
         open_request = OpenRequest(self.last_id, parsed, client, self.clock() + parsed.time_left)
+        open_request.gives_up_at = self.clock() + parsed.client_wait_s
         if parsed.upload is not None:   # its time runs from its last byte; the server ends one that never comes
             open_request.deadline = inf
         self.open_requests[open_request.id] = open_request
@@ -210,8 +214,10 @@
         if (open_request := self.open_requests.get(request)) is None:
             return
         if open_request.parsed.upload.is_complete and open_request.timer is None and not open_request.is_streaming:
-            open_request.deadline = self.clock() + open_request.parsed.time_left
-            open_request.timer = self.loop.call_later(open_request.parsed.time_left, self._expire, open_request)
+            open_request.complete_at = now = self.clock()
+            open_request.deadline = min(now + open_request.parsed.time_left, open_request.gives_up_at)
+            left_s = max(0.0, open_request.deadline - now)
+            open_request.timer = self.loop.call_later(left_s, self._expire, open_request)
             self.post(api.BodyReceived(request))
         for exchange in list(open_request.exchanges.values()):
             exchange.write_body()
@@ -381,16 +387,15 @@
 
     def _latency(self, open_request: OpenRequest, sent_at: float, status: api.Status) -> float:
         """Return the seconds that an attempt took the backend; 0 if it was cancelled while it waited for the body."""
-        if status is api.Status.CANCELLED and open_request.deadline == inf:
+        is_uploading = open_request.parsed.upload is not None and open_request.complete_at == inf
+        if status is api.Status.CANCELLED and is_uploading:
             return 0.0
         return self.clock() - self._started_at(open_request, sent_at)
 
     @staticmethod
     def _started_at(open_request: OpenRequest, sent_at: float) -> float:
         """Return when an attempt's latency begins to count: at the send, or at the request's last byte if later."""
-        if open_request.parsed.upload is None or open_request.deadline == inf:
-            return sent_at
-        return max(sent_at, open_request.deadline - open_request.parsed.time_left)
+        return sent_at if open_request.complete_at == inf else max(sent_at, open_request.complete_at)
 
     def _report(self, response: Response | None) -> list[float]:
         if response is None or self.settings.report_via != "answers":
--- a/fennelpoint/net/request_parser.py
+++ b/fennelpoint/net/request_parser.py
@@ -97,6 +97,10 @@
             lines[1:] = [line for line in lines[1:] if line.partition(b":")[0] not in connection_options]
         return routing_fields, lines
 
+    def client_wait_s(self, headers: list[tuple[bytes, bytes]]) -> float:
+        """Return for how long the client waits from the head on; inf if its time counts from the last byte."""
+        return math.inf
+
     def read(
         self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]], body: bytes, upload: Upload | None = None
     ) -> ParsedRequest:
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -14,6 +14,7 @@
 from collections import deque
 from collections.abc import Iterable
 from itertools import islice, takewhile
+from math import inf
 
 import httptools
 
@@ -31,6 +32,8 @@
 MAX_PENDING_REQUESTS = 16           # pipelined requests of one connection
 MAX_PENDING_BODY_BYTES = 256 * 1024     # bodies of pipelined requests
 MAX_UNREAD_RESPONSE_BYTES = 128 * 1024  # response bytes left unread before the connection's next request must wait
+ANSWER_MARGIN_S = 0.05              # before a client stops waiting, in which an answer still reaches it
+MIN_TIME_LEFT_S = 0.001
 HEAD_TIMEOUT_S = 2.5                # for a whole request, from the connect or from its first byte
 IDLE_TIMEOUT_S = 5.0                # for a connection without an open request
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)    # SO_LINGER on with 0 s: closing sends a reset
@@ -54,7 +57,8 @@
                  "body_size", "in_head", "in_body", "is_disconnected", "is_write_paused", "queue",
                  "is_head_request", "content_length", "pace", "upload", "account", "source", "is_chunked",
                  "is_self_delimited", "expects_continue", "is_read_paused", "is_reused", "streamed_bytes",
-                 "flushed_bytes", "flushed_at", "high_water_mark", "has_offer", "__weakref__")
+                 "flushed_bytes", "flushed_at", "high_water_mark", "has_offer", "gives_up_at",
+                 "deadline_timer", "__weakref__")
 
     def __init__(self, server: Server) -> None:
         super().__init__(server.host.budget)
@@ -81,6 +85,7 @@
         self.account = Account(self.budget)
         self.is_reused = False                  # it was idle before, and then sent another request
         self.is_read_paused = False             # back-pressure: the backend does not accept the body
+        self.deadline_timer: asyncio.TimerHandle | None = None  # ends a body that is not there in time
         self._reset_message()
 
     def _reset_message(self) -> None:
@@ -92,6 +97,7 @@
         self.pace: Pace | None = None   # of a body that did not arrive together with its head
         self.expects_continue = False   # the client waits for "100 Continue" before it sends its body
         self.has_offer = False          # the head offers another protocol
+        self.gives_up_at = inf          # when the client stops waiting, of a body that did not arrive with its head
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -166,6 +172,7 @@
         if self.pace is None:
             self.pace = Pace(now)
             self.bound_reads(True)
+            self._await_deadline(now)
         if self.expects_continue and self.open_request is None and not self.pending:
             self.expects_continue, self.pace = False, Pace(now)
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -182,6 +189,24 @@
         if not self.ignores_input:   # else reads on and discards, as a reset would lose the response
             self._apply_back_pressure(now)
 
+    def _await_deadline(self, now: float) -> None:
+        """Answer a client that stops waiting before its body is complete."""
+        wait_s = self.server.reader.client_wait_s(self.headers)
+        if wait_s < inf:
+            self.gives_up_at = now + wait_s
+            self.deadline_timer = self.server.loop.call_later(
+                max(0.0, wait_s - ANSWER_MARGIN_S), self._handle_deadline)
+
+    def _handle_deadline(self) -> None:
+        is_answered = self.upload is not None and self.open_request is None and not self.pending
+        if self.in_body and not self.ignores_input and not is_answered:
+            self.handle_timeout()
+
+    def _end_deadline(self) -> None:
+        if self.deadline_timer is not None:
+            self.deadline_timer.cancel()
+            self.deadline_timer = None
+
     def _start_streaming_upload(self, now: float) -> None:
         """Admit the request before its body is complete, and stream the rest of the body to the backend."""
         upload = Upload(self.content_length)
@@ -305,6 +330,7 @@
             self._resume_reading(time.monotonic())
             self.bound_reads(False)
             self.pace = None
+            self._end_deadline()
         if self.open_request is None and len(self.pending) <= 1:
             return      # the usual case: no pipelining
         # Without the request that is served next: its body may be large, and must not get later requests refused.
@@ -316,16 +342,20 @@
 
     def _read_request(self, body: bytes, upload: Upload | None = None) -> ParsedRequest | LocalReply:
         try:
-            return self.server.reader.read(self.parser.get_method(), self.url, self.headers, body,
-                                           upload)
+            request = self.server.reader.read(self.parser.get_method(), self.url, self.headers, body, upload)
         except LocalReply as reply:
             return reply
+        if self.gives_up_at < inf:
+            request.client_wait_s = max(MIN_TIME_LEFT_S, self.gives_up_at - time.monotonic())
+            request.time_left = min(request.time_left, request.client_wait_s)
+        return request
 
     def _finish_upload(self) -> None:
         """Return to normal reading: the streamed body is complete."""
         self._resume_reading(time.monotonic())
         self.bound_reads(False)
         self.pace = self.upload = None
+        self._end_deadline()
         if self.open_request is not None or self.pending:
             if self.queue is self.server.receiving_body:
                 self._enter_queue(None)
@@ -338,6 +368,7 @@
         """Queue an error response, and ignore all input after it."""
         if not self.ignores_input:
             self.ignores_input = True
+            self._end_deadline()
             if self.upload is not None and self.open_request is None and not self.pending:
                 # It has its response already: a second one would pass for the response to the next request.
                 return self._close_gracefully()
@@ -514,6 +545,7 @@
         Closing with unread input would reset the connection, and the client would lose the response.
         """
         self.ignores_input, self.received_bytes = True, 0
+        self._end_deadline()
         self.pending.clear()
         self.headers, self.body_pieces, self.upload = [], [], None
         self.account.close()
@@ -527,6 +559,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.is_disconnected = self.ignores_input = True
+        self._end_deadline()
         self.server.connections.discard(self)
         self._enter_queue(None)
         if self.open_request is not None and self.open_request > 0:
@@ -552,7 +585,8 @@
         elif not (self.in_head or self.in_body):
             self.transport.close()
         else:
-            may_have_run = self.open_request is not None and self.server.host.may_have_run(self.open_request)
+            is_uploading = self.upload is not None and self.open_request is not None
+            may_have_run = is_uploading and self.server.host.may_have_run(self.open_request)
             self._reject(BadRequest("it has not come whole in time", 502 if may_have_run else 408))
             self._serve_next()
 
--- a/fennelpoint/system/proxy/request_parser.py
+++ b/fennelpoint/system/proxy/request_parser.py
@@ -10,6 +10,7 @@
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from random import Random
 
 from fennelpoint import interface as api
@@ -31,6 +32,12 @@
 RETRY_AFTER_S = b"%.3f" % MAX_RETRY_AFTER_S     # for requests that arrive while there is no lease
 
 
+def _seconds(remaining: bytes) -> float:
+    """Seconds of a valid X-Deadline-Remaining, else 0."""
+    is_valid = remaining.isdigit() and len(remaining) <= 9 and int(remaining) <= MAX_DEADLINE_MS
+    return int(remaining) / 1000.0 if is_valid else 0.0
+
+
 @dataclass(slots=True)
 class ForwardedRequest(ParsedRequest):
     """A request as it is sent to a backend: it names the backend's identity, so that no other instance runs it."""
@@ -67,6 +74,11 @@
             else:
                 self.tenants[self.plans[tenant.name]] = tenant
 
+    def client_wait_s(self, headers: list[tuple[bytes, bytes]]) -> float:
+        """Return for how long the client waits from the head of its request on; inf if it does not say so validly."""
+        given = [value for name, value in headers if name == b"x-deadline-remaining"]
+        return _seconds(given[0]) or inf if len(given) == 1 else inf
+
     def take_request_counts(self) -> dict[str, int]:
         """Requests by tenant since the last call, including refused ones."""
         counts, self.request_counts = self.request_counts, {}
@@ -144,9 +156,9 @@
         remaining = single_headers.get(b"x-deadline-remaining")
         if remaining is None:
             return route.timeout_s
-        if not remaining.isdigit() or len(remaining) > 9 or not 0 < int(remaining) <= MAX_DEADLINE_MS:
+        if not (seconds := _seconds(remaining)):
             raise BadRequest("x-deadline-remaining is not a number of milliseconds")
-        return int(remaining) / 1000.0
+        return seconds
 
     def _class_number(self, route: Route) -> int:
         key = (route.services[0][0], route.is_idempotent, route.target_latency_s, route.priority)
--- a/tests/system/test_possible_execution.py
+++ b/tests/system/test_possible_execution.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -46,14 +47,15 @@
 class Upload:
     """A client's write whose body arrives in two parts."""
 
-    def __init__(self, port: int, body: bytes = LARGE_BODY, chunked: bool = False) -> None:
-        self.port, self.body, self.chunked = port, body, chunked
+    def __init__(self, port: int, body: bytes = LARGE_BODY, chunked: bool = False, left_ms: int = 4000) -> None:
+        self.port, self.body, self.chunked, self.left_ms = port, body, chunked, left_ms
 
     async def begin(self, size: int = SENT_FIRST) -> None:
         """Send the head and the first `size` bytes of the body."""
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
         framing = "Transfer-Encoding: chunked" if self.chunked else f"Content-Length: {len(self.body)}"
-        head = f"POST /r/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: b1\r\nX-Deadline-Remaining: 4000\r\n{framing}\r\n\r\n"
+        deadline = f"X-Deadline-Remaining: {self.left_ms}"
+        head = f"POST /r/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: b1\r\n{deadline}\r\n{framing}\r\n\r\n"
         part = self.body[:size]
         self.writer.write(head.encode() + (b"%x\r\n%b\r\n" % (size, part) if self.chunked else part))
         await self.writer.drain()
@@ -186,3 +188,32 @@
         upload.close()
 
     play(scenario, work_on)
+
+
+# Guards the deadline of a client: a request is answered when its client stops waiting, whatever it waits for.
+@pytest.mark.parametrize("sent_first, status", [(SENT_FIRST, b"502"), (100_000, b"408")])
+def test_client_that_stalls_in_its_upload_is_answered_at_its_deadline(sent_first: int, status: bytes) -> None:
+    async def scenario(proxy: RunningProxy, early: EarlyBackend) -> None:
+        upload = Upload(proxy.public, left_ms=1200)
+        began = time.monotonic()
+        await upload.begin(sent_first)
+        assert await upload.status() == status
+        assert 1.0 < time.monotonic() - began < 1.2
+        upload.close()
+
+    play(scenario, work_on)
+
+
+@pytest.mark.parametrize("size", [100_000, len(LARGE_BODY)])
+def test_deadline_counts_from_the_head_of_a_request_with_a_slow_body(size: int) -> None:
+    async def scenario(proxy: RunningProxy, early: EarlyBackend) -> None:
+        upload = Upload(proxy.public, LARGE_BODY[:size], left_ms=1500)
+        began = time.monotonic()
+        await upload.begin(size - 1000)
+        await asyncio.sleep(0.8)
+        upload.writer.write(LARGE_BODY[:1000])
+        assert await upload.status() == b"502" and early.runs == [b"b1"]
+        assert 1.2 < time.monotonic() - began < 1.7
+        upload.close()
+
+    play(scenario, work_on)
