proxy: bodies are bounded by the configuration; /ready is a path like any other

Cause: a constant of 40 MiB, and a path of the ingress that runs alone, whose front asks for it; the system's page has readiness at an address of its own. Change: the reader gives the bound (without a lease none: such a request gets 503 as any other) and the path. Answers of backends may be as long as the larger of the two.

--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -276,7 +276,8 @@
             content_length = next((value for name, value in self.headers if name == b"content-length"), None)
             self.content_length = None if content_length is None else int(content_length)
             if content_length is not None:
-                if self.content_length > MAX_BODY_BYTES:    # rejected now, as gigabytes take too long to arrive
+                # Rejected now, as gigabytes take too long to arrive.
+                if self.content_length > self.pool.max_body_bytes:
                     self.rejection = "is too large"
             else:
                 self.ends_at_close = not any(name == b"transfer-encoding" for name, _ in self.headers)
@@ -294,7 +295,7 @@
 
     def _stream(self, body: bytes) -> None:
         self.body_bytes += len(body)
-        if self.body_bytes > MAX_BODY_BYTES:
+        if self.body_bytes > self.pool.max_body_bytes:
             self.rejection = "exceeds the maximum body size"
         elif self.receiver is not None:
             self.receiver.write_body(body)
@@ -406,6 +407,7 @@
         self.loop, self.max_connections, self.budget = loop, max_connections, budget
         self.connect_timeout_s = connect_timeout_s or DEFAULT_CONNECT_TIMEOUT_S
         self.max_idle_s = min(MAX_IDLE_S, idle_timeout_s * IDLE_TIMEOUT_FRACTION) if idle_timeout_s else MAX_IDLE_S
+        self.max_body_bytes = MAX_BODY_BYTES    # of a response
         self.upstreams: dict[str, Upstream] = {}
         self.all: set[UpstreamConnection] = set()
         self.connect_tasks: dict[asyncio.Task, Exchange] = {}
--- a/fennelpoint/net/request_parser.py
+++ b/fennelpoint/net/request_parser.py
@@ -67,6 +67,8 @@
 class RequestReader:
     """Builds requests for the decision module; class and plan names are resolved by the settings."""
 
+    READY_PATH = b"/ready"  # answered by the process itself; None: no path is
+
     def __init__(self, settings: api.Settings) -> None:
         self.settings = settings
         self.classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
@@ -97,6 +99,10 @@
             lines[1:] = [line for line in lines[1:] if line.partition(b":")[0] not in connection_options]
         return routing_fields, lines
 
+    def max_body_bytes(self) -> int:
+        """Return the most bytes of a request body; 0: as many as the process can handle."""
+        return 0
+
     def client_wait_s(self, headers: list[tuple[bytes, bytes]]) -> float:
         """Return for how long the client waits from the head on; inf if its time counts from the last byte."""
         return math.inf
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -58,7 +58,7 @@
                  "is_head_request", "content_length", "pace", "upload", "account", "source", "is_chunked",
                  "is_self_delimited", "expects_continue", "is_read_paused", "is_reused", "streamed_bytes",
                  "flushed_bytes", "flushed_at", "high_water_mark", "has_offer", "gives_up_at",
-                 "deadline_timer", "__weakref__")
+                 "deadline_timer", "max_body_bytes", "__weakref__")
 
     def __init__(self, server: Server) -> None:
         super().__init__(server.host.budget)
@@ -94,6 +94,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.body_pieces: list[bytes] = []
         self.content_length: int | None = None
+        self.max_body_bytes = 0         # of a message with a body
         self.pace: Pace | None = None   # of a body that did not arrive together with its head
         self.expects_continue = False   # the client waits for "100 Continue" before it sends its body
         self.has_offer = False          # the head offers another protocol
@@ -295,14 +296,16 @@
         if length is not None and (not length.isdigit() or len(length) > 18):
             return self._reject(BadRequest("its length is none"))
         self.content_length = None if length is None else int(length)
-        if self.content_length is not None and self.content_length > MAX_BODY_BYTES:
+        if length is not None or coding is not None:
+            self.max_body_bytes = self.server.reader.max_body_bytes() or MAX_BODY_BYTES
+        if self.content_length is not None and self.content_length > self.max_body_bytes:
             self._reject(BadRequest("its body is too large", 413))
 
     def on_body(self, body: bytes) -> None:
         if self.ignores_input:
             return
         self.body_size += len(body)
-        if self.body_size > MAX_BODY_BYTES:
+        if self.body_size > self.max_body_bytes:
             return self._reject(BadRequest("its body is too large", 413))
         if self.upload is not None:
             self.upload.add(body)
@@ -319,8 +322,8 @@
                 self.server.host.body_arrived(self.open_request)
             return self._finish_upload()
         keep_alive = self.parser.should_keep_alive()
-        if self.url == b"/ready" and self.parser.get_method() == b"GET":
-            self.pending.append((b"/ready", keep_alive))
+        if self.url == self.server.reader.READY_PATH and self.parser.get_method() == b"GET":
+            self.pending.append((self.url, keep_alive))
         else:
             try:
                 self.pending.append((self._read_request(b"".join(self.body_pieces)), keep_alive))
--- a/fennelpoint/system/config_schema.py
+++ b/fennelpoint/system/config_schema.py
@@ -10,7 +10,7 @@
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError, model_validator
 from result import Err, Ok, Result
 
-from fennelpoint.system.config_versions import ConfigVersion, encode
+from fennelpoint.system.config_versions import DEFAULT_BODY_BYTES, ConfigVersion, encode
 from fennelpoint.system.failure import Failure
 
 MAX_NUMBER = 1e9    # of any unit: sums and products of such numbers stay finite
@@ -39,7 +39,7 @@
     """Limits on client connections and requests."""
 
     header_bytes: Count = 16384
-    body_bytes: Count = 1 << 26
+    body_bytes: Count = DEFAULT_BODY_BYTES
     header_timeout_s: Duration = 3.0
     idle_timeout_s: Duration = 15.0
 
--- a/fennelpoint/system/config_versions.py
+++ b/fennelpoint/system/config_versions.py
@@ -13,6 +13,7 @@
 
 from fennelpoint.system.failure import Failure
 
+DEFAULT_BODY_BYTES = 1 << 26    # of a configuration without limits
 VERSION_LIMIT = 1 << 62     # versions stay below it, so that they fit the messages between processes
 
 
@@ -147,10 +148,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Timeouts of client connections."""
+    """Limits on client connections and requests."""
 
     header_timeout_s: float
     idle_timeout_s: float
+    body_bytes: int
 
 
 class HostRoutes:
@@ -183,7 +185,8 @@
     def __init__(self, value: dict) -> None:
         limits = value.get("limits") or {}
         self.number = value["version"]
-        self.limits = Limits(float(limits.get("header_timeout_s", 3.0)), float(limits.get("idle_timeout_s", 15.0)))
+        self.limits = Limits(float(limits.get("header_timeout_s", 3.0)), float(limits.get("idle_timeout_s", 15.0)),
+                             int(limits.get("body_bytes", DEFAULT_BODY_BYTES)))
         self.routes_by_host: dict[str, HostRoutes] = {}
         # Duration of the cold start (s) and the request rate during it (1/s), by service.
         self.clusters = {
--- a/fennelpoint/system/proxy/program.py
+++ b/fennelpoint/system/proxy/program.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from fennelpoint import interface as api
-from fennelpoint.body_buffering import Budget, budget_of
+from fennelpoint.body_buffering import MAX_BODY_BYTES, Budget, budget_of
 from fennelpoint.file_descriptors import plan
 from fennelpoint.invariants import Invariant, violations
 from fennelpoint.lifecycle import Event as LifeCycleEvent
@@ -194,6 +194,7 @@
         self.reader.apply_version(version)
         self.server.idle_timeout_s = max(5.0, version.limits.idle_timeout_s)
         self.server.head_timeout_s = max(2.5, version.limits.header_timeout_s)
+        self.backends.max_body_bytes = max(MAX_BODY_BYTES, version.limits.body_bytes)
         self.update_catalogue()
         self._update_shares()
         self._refresh_backends()
--- a/fennelpoint/system/proxy/request_parser.py
+++ b/fennelpoint/system/proxy/request_parser.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
@@ -53,6 +54,8 @@
     `is_leased` tells whether the version is confirmed as the newest, as of a time within the bound of the settings.
     """
 
+    READY_PATH = None   # readiness has an address of its own
+
     def __init__(self, on_growth: Callable[[], None], random: Random, is_leased: Callable[[], bool]) -> None:
         self.is_leased = is_leased
         self.version: ConfigVersion | None = None
@@ -74,6 +77,10 @@
             else:
                 self.tenants[self.plans[tenant.name]] = tenant
 
+    def max_body_bytes(self) -> int:
+        """Return the configuration's bound; without a lease none, as the request is refused for that later."""
+        return self.version.limits.body_bytes if self.version is not None and self.is_leased() else sys.maxsize
+
     def client_wait_s(self, headers: list[tuple[bytes, bytes]]) -> float:
         """Return for how long the client waits from the head of its request on; inf if it does not say so validly."""
         given = [value for name, value in headers if name == b"x-deadline-remaining"]
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -8,7 +8,13 @@
 from hypothesis import strategies as st
 from test_body_buffering import unchunk
 
-from fennelpoint.body_buffering import MAX_BUFFERED_BYTES, MAX_UPLOAD_BUFFER_BYTES, READ_BYTES, Budget
+from fennelpoint.body_buffering import (
+    MAX_BODY_BYTES,
+    MAX_BUFFERED_BYTES,
+    MAX_UPLOAD_BUFFER_BYTES,
+    READ_BYTES,
+    Budget,
+)
 from fennelpoint.interface import BackendState, Status
 from fennelpoint.lifecycle import Event, LifeCycle
 from fennelpoint.net.backends import Backends, Exchange, Upstream, UpstreamConnection
@@ -164,7 +170,7 @@
 def parse_response(pieces: list[bytes], end: bool) -> tuple[Status | None, int, bytes]:
     """Return outcome, status and body of a backend's response, whether it was streamed or not."""
     pool = SimpleNamespace(all=set(), budget=Budget(1 << 26), judge=partial(Backends.judge, None),
-                           STARTS_AT_LAST_BYTE=Backends.STARTS_AT_LAST_BYTE,
+                           STARTS_AT_LAST_BYTE=Backends.STARTS_AT_LAST_BYTE, max_body_bytes=MAX_BODY_BYTES,
                            keep_alive_s=partial(Backends.keep_alive_s, None), has_id=partial(Backends.has_id, None))
     upstream = Upstream("127.0.0.1", 1, 0.0, BackendState.READY)
     sink, out = ResponseSink(), []
