--- a/fennelpoint/testing/instrumented_program.py
+++ b/fennelpoint/testing/instrumented_program.py
@@ -72,9 +72,9 @@
 
     serve = system.serve
 
-    async def probed(role: str, settings: Settings, path: str) -> None:
+    async def probed(role: str, settings: Settings, path: str, applied_stamp: tuple) -> None:
         probe.look()
-        await serve(role, settings, path)
+        await serve(role, settings, path, applied_stamp)
 
     mesh.pack, mesh.Unpacker, system.serve = probe.pack, Counted, probed
 
--- a/fennelpoint/testing/soak/connection_cutter.py
+++ b/fennelpoint/testing/soak/connection_cutter.py
@@ -86,9 +86,9 @@
     """Into the programs of this process."""
     serve = system.serve
 
-    async def cuttable(role: str, settings: Settings, path: str) -> None:
+    async def cuttable(role: str, settings: Settings, path: str, applied_stamp: tuple) -> None:
         cuts.watch()
-        await serve(role, settings, path)
+        await serve(role, settings, path, applied_stamp)
 
     mesh.PeerConnection, system.serve = CuttableWire, cuttable
 
