testing: each attempt of an evacuation's order is an operation of its own in histories

Trace: `restore z1` takes effect at 5.057 s (revision 18), its reply is lost; another operator's `evacuate z1` is acknowledged at 6.284; the first operator, still without an answer, sends its order again at 7.050, and it takes effect once more (revision 22). The model took the three attempts for one operation with one effect. Change: an attempt without an answer is an operation that takes effect until its order is answered, or never; the last attempt began when it was sent.

--- a/fennelpoint/testing/linearizable.py
+++ b/fennelpoint/testing/linearizable.py
@@ -32,6 +32,8 @@
     `kind` is put (a complete configuration), patch, evacuate, restore, get or snapshot. A patch adds or replaces
     `routes` by name and removes `gone`. `seen` is the result of a read: version, base version, routes and, for a
     snapshot, evacuated zones.
+
+    An operation without a definite reply takes effect by `effective_by`, or never.
     """
 
     order: int
@@ -45,6 +47,7 @@
     gone: frozenset[str] = frozenset()
     zone: str = ""
     seen: tuple | None = None
+    effective_by: float = inf
 
     def __str__(self) -> str:
         summary = {"put": f"{self.version} on {self.base}", "patch": f"{self.version} on {self.base}"}.get(
@@ -100,9 +103,12 @@
         if answered_count >= best[0]:
             best = answered_count, state, taken
         successors = []
+        newest_began = ops[taken.bit_length() - 1].began if taken else -inf
         for i in remaining:
             if ops[i].began > earliest_end:
                 break
+            if newest_began > ops[i].effective_by:
+                continue    # an operation that began after its time has taken effect already
             if (after := apply_operation(state, ops[i])) is not None:
                 if ops[i].kind in ("get", "snapshot"):
                     successors = [(taken | 1 << i, after)]    # taking a read that fits now excludes no other order
--- a/fennelpoint/testing/operator_calls.py
+++ b/fennelpoint/testing/operator_calls.py
@@ -4,7 +4,8 @@
 
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from math import inf
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -38,6 +39,7 @@
     required_target: str = ""  # the only machine allowed; empty for any
     attempts: int = 0
     redirects: int = 0
+    attempts_began: list[float] = field(default_factory=list)
     request: ApiRequest | None = None
     result: Op | None = None
 
@@ -152,6 +154,7 @@
         if operation not in self.pending:
             return
         others = [ip for ip in self.cores if ip not in self.removed and ip != operation.target] or list(self.cores)
+        operation.attempts_began.append(self.now)
         operation.target = redirected_to or operation.required_target or self.rng.choice(others)
         call, segment, _ = find_call("control_plane", operation.method, operation.path)
         request = operation.request = ApiRequest(call, segment, {}, operation.body, Caller())
@@ -210,6 +213,9 @@
         operation.request = None
         op = dict(operation.op)
         operator = op.pop("operator")
+        if op["kind"] in ("evacuate", "restore"):
+            self._record_earlier_attempts(operation, op, self.now if status else inf)
+            op["began"] = operation.attempts_began[-1]
         if status == 0:
             if op["kind"] in CHANGE_METHODS:
                 self.history.append(Op(**op))
@@ -226,6 +232,15 @@
         operation.result = Op(**op, ended=self.now, status=status)
         self.history.append(operation.result)
 
+    def _record_earlier_attempts(self, operation: PendingOperation, op: dict, effective_by: float) -> None:
+        """Record the attempts before the last one as operations of their own.
+
+        An order bears nothing that tells a retry from a new order, so each attempt may take effect; none may once
+        the operator has the answer.
+        """
+        for began in operation.attempts_began[:-1]:
+            self.history.append(Op(**{**op, "began": began}, effective_by=effective_by))
+
     def wait_for_results(self, start: Callable[[], None], timeout_s: float, description: str) -> list[Op]:
         """Results of the operations that `start` begins; raises CheckFailed if one has no definite reply in time."""
         earlier = list(self.pending)
--- a/tests/system/test_linearizable.py
+++ b/tests/system/test_linearizable.py
@@ -207,3 +207,15 @@
     none_evacuated, still_evacuated = (0, 0, frozenset(), frozenset()), (0, 0, frozenset(), frozenset({"z"}))
     assert find_violation([begun, ended, Op(0, "snapshot", 2.0, 2.1, 200, seen=none_evacuated)]) == ""
     assert "no order fits" in find_violation([begun, ended, Op(0, "snapshot", 2.0, 2.1, 200, seen=still_evacuated)])
+
+
+def test_attempt_without_an_answer_may_take_effect_until_its_order_is_answered_and_not_later() -> None:
+    """Each attempt is an order of its own, as nothing tells a retry from a new order."""
+    attempt, retry = (Op(1, "evacuate", 0.0, zone="z", effective_by=4.0), Op(1, "evacuate", 3.0, 4.0, 200, zone="z"))
+    ended_between, ended_after = (Op(2, "restore", began, began + 1.0, 200, zone="z") for began in (1.0, 5.0))
+    none_evacuated, evacuated = (0, 0, frozenset(), frozenset()), (0, 0, frozenset(), frozenset({"z"}))
+    early, late = (Op(0, "snapshot", 0.5, 0.6, 200, seen=evacuated), Op(0, "snapshot", 7.0, 7.1, 200, seen=evacuated))
+    assert find_violation([attempt, early, ended_between, retry, late]) == ""
+    gone = Op(0, "snapshot", 7.0, 7.1, 200, seen=none_evacuated)
+    assert find_violation([attempt, early, ended_between, retry, ended_after, gone]) == ""
+    assert "no order fits" in find_violation([attempt, early, ended_between, retry, ended_after, late])
