net: a module each for exchanges, both kinds of connections, pools and servers

Code moved as it was; what a connection needs of its pool or server is a protocol, so that no module imports itself by a detour. Tests name the new modules; what they check is the same.

--- a/fennelpoint/net/controller_host.py
+++ b/fennelpoint/net/controller_host.py
@@ -18,9 +18,10 @@
 from fennelpoint.body_buffering import Budget, Upload
 from fennelpoint.control import Controller
 from fennelpoint.invariants import Invariant, violations
-from fennelpoint.net.backends import Backends, Exchange, Response, load_report
+from fennelpoint.net.backends import Backends, load_report
 from fennelpoint.net.controller_runtime import Clock, Driver
 from fennelpoint.net.counter import Counter
+from fennelpoint.net.exchange import Exchange, Response, Source
 from fennelpoint.rate_limited_log import log, warn_limited
 
 ABANDONED_WORK_TIMEOUT_S = 0.5  # after its client has left, within which work for a repeatable request must end
@@ -43,13 +44,6 @@
     def attempt_ended(self, customer: int, node: str, status: api.Status) -> None: ...
 
 
-class Source(Protocol):
-    """The connection that a streamed response is read from."""
-
-    def pause(self) -> None: ...
-    def resume(self) -> None: ...
-
-
 class Client(Protocol):
     """Receives a request's response: whole, by `send_response`, or streamed.
 
--- a/fennelpoint/net/request_parser.py
+++ b/fennelpoint/net/request_parser.py
@@ -8,8 +8,8 @@
 
 from fennelpoint import interface as api
 from fennelpoint.body_buffering import Upload
-from fennelpoint.net.backends import HOP_BY_HOP
 from fennelpoint.net.controller_host import ParsedRequest
+from fennelpoint.net.exchange import HOP_BY_HOP
 
 MAX_REMAINING_MS = 600_000  # ten minutes; a larger value is taken for an error
 CUSTOMER_ID_LIMIT = 1 << 33  # exclusive
--- a/fennelpoint/system/proxy/controller_host.py
+++ b/fennelpoint/system/proxy/controller_host.py
@@ -6,8 +6,10 @@
 from math import inf
 
 from fennelpoint import interface as api
-from fennelpoint.net.backends import Backends, Exchange, Response, UpstreamConnection
+from fennelpoint.net.backends import Backends
 from fennelpoint.net.controller_host import ControllerHost, OpenRequest
+from fennelpoint.net.exchange import Exchange, Response
+from fennelpoint.net.upstream_connection import UpstreamConnection
 from fennelpoint.system.proxy.events import UnitsNeeded
 
 KEEP_ALIVE_FRACTION = 0.6   # of the time for which a backend keeps an idle connection open
--- a/fennelpoint/system/proxy/request_parser.py
+++ b/fennelpoint/system/proxy/request_parser.py
@@ -16,8 +16,8 @@
 
 from fennelpoint import interface as api
 from fennelpoint.body_buffering import Upload
-from fennelpoint.net.backends import HOP_BY_HOP
 from fennelpoint.net.controller_host import ParsedRequest
+from fennelpoint.net.exchange import HOP_BY_HOP
 from fennelpoint.net.request_parser import BadRequest, LocalReply, RequestReader, body_framing_field
 from fennelpoint.system.config_versions import ConfigVersion, Route, Tenant
 from fennelpoint.system.proxy.queue_timeout import MAX_RETRY_AFTER_S
--- a/tests/system/test_possible_execution.py
+++ b/tests/system/test_possible_execution.py
@@ -11,7 +11,7 @@
 import pytest
 
 from fennelpoint import body_buffering
-from fennelpoint.net import backends
+from fennelpoint.net import upstream_connection
 from fennelpoint.testing.proxy_program import RunningProxy, start_proxy
 
 LARGE_BODY, SENT_FIRST = bytes(400_000), 300_000  # a body that is streamed, and the part that arrives at first
@@ -138,7 +138,7 @@
 
 
 def test_write_to_a_backend_that_stops_reading_its_body_gets_no_promise(monkeypatch) -> None:
-    monkeypatch.setattr(backends, "BODY_STALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(upstream_connection, "BODY_STALL_TIMEOUT_S", 0.2)
 
     async def scenario(proxy: RunningProxy, early: EarlyBackend) -> None:
         upload = Upload(proxy.public, bytes(30_000_000))
@@ -153,14 +153,14 @@
 
 def test_buffered_write_that_is_sent_in_part_is_not_sent_to_a_second_backend(monkeypatch) -> None:
     """A link that is slower than the proxy: the socket takes only a part of the body before the answer is lost."""
-    connection_made = backends.UpstreamConnection.connection_made
+    connection_made = upstream_connection.UpstreamConnection.connection_made
 
     def limit_socket(self, transport: asyncio.Transport) -> None:
         limited = transport.get_extra_info("socket")
         limited.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_SOCKET_BUFFER_BYTES)
         connection_made(self, transport)
 
-    monkeypatch.setattr(backends.UpstreamConnection, "connection_made", limit_socket)
+    monkeypatch.setattr(upstream_connection.UpstreamConnection, "connection_made", limit_socket)
 
     async def scenario(proxy: RunningProxy, *early: EarlyBackend) -> None:
         upload = Upload(proxy.public, BUFFERED_BODY)
--- a/tests/system/test_proxy.py
+++ b/tests/system/test_proxy.py
@@ -9,8 +9,8 @@
 
 from fennelpoint import interface as api
 from fennelpoint.body_buffering import Budget
-from fennelpoint.net.backends import Exchange
 from fennelpoint.net.controller_runtime import Clock
+from fennelpoint.net.exchange import Exchange
 from fennelpoint.net.request_parser import BadRequest, LocalReply
 from fennelpoint.system.config_schema import check_and_compile
 from fennelpoint.system.config_versions import ConfigVersion, merge
--- a/tests/system/test_reused_addresses.py
+++ b/tests/system/test_reused_addresses.py
@@ -9,7 +9,7 @@
 
 from fennelpoint import interface as api
 from fennelpoint.body_buffering import Budget
-from fennelpoint.net.backends import Exchange
+from fennelpoint.net.exchange import Exchange
 from fennelpoint.system.config_versions import ConfigVersion
 from fennelpoint.system.proxy.controller_host import ProxyBackends
 from fennelpoint.system.proxy.request_parser import ProxyReader
--- a/tests/system/test_whose_answer.py
+++ b/tests/system/test_whose_answer.py
@@ -7,8 +7,8 @@
 
 from fennelpoint import interface as api
 from fennelpoint.body_buffering import Budget
-from fennelpoint.net.backends import Exchange, Response
 from fennelpoint.net.controller_host import OpenRequest, ParsedRequest
+from fennelpoint.net.exchange import Exchange, Response
 from fennelpoint.system.calls import find_call
 from fennelpoint.system.http_server import ApiRequest, HttpConnection, HttpServer, Reply
 from fennelpoint.system.proxy.controller_host import ProxyBackends, ProxyHost
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -7,9 +7,9 @@
 import pytest
 
 from fennelpoint.body_buffering import MAX_BODY_BYTES
-from fennelpoint.net.backends import UpstreamConnection
+from fennelpoint.net.client_connection import RESET_ON_CLOSE
 from fennelpoint.net.controller_host import ABANDONED_WORK_TIMEOUT_S
-from fennelpoint.net.server import RESET_ON_CLOSE
+from fennelpoint.net.upstream_connection import UpstreamConnection
 from fennelpoint.testing import Backend, Fake, ask, read_message, request, run, until, world
 
 MB = 1 << 20
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -17,9 +17,11 @@
 )
 from fennelpoint.interface import BackendState, Status
 from fennelpoint.lifecycle import Event, LifeCycle
-from fennelpoint.net.backends import Backends, Exchange, Upstream, UpstreamConnection
+from fennelpoint.net.backends import Backends
+from fennelpoint.net.client_connection import ClientConnection
+from fennelpoint.net.exchange import Exchange
 from fennelpoint.net.request_parser import RequestReader
-from fennelpoint.net.server import ClientConnection
+from fennelpoint.net.upstream_connection import Upstream, UpstreamConnection
 from fennelpoint.settings import from_json
 from fennelpoint.testing import SETTINGS, request
 
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -208,7 +208,7 @@
 
 def test_client_that_reads_nothing_for_long_is_disconnected(monkeypatch):
     async def scenario() -> None:
-        monkeypatch.setattr("fennelpoint.net.server.BODY_STALL_TIMEOUT_S", 0.5)
+        monkeypatch.setattr("fennelpoint.net.client_connection.BODY_STALL_TIMEOUT_S", 0.5)
         response = STATUS_LINE + b"Content-Length: %d\r\n\r\n" % (24 * MB) + bytes(24 * MB)
         async with world(Backend(lambda *_: response)) as harness:
             reader, writer = await harness.connect()
@@ -429,7 +429,7 @@
 
 def test_endless_body_gets_413(monkeypatch):
     async def scenario() -> None:
-        monkeypatch.setattr("fennelpoint.net.server.MAX_BODY_BYTES", 2 * MB)
+        monkeypatch.setattr("fennelpoint.net.client_connection.MAX_BODY_BYTES", 2 * MB)
         backend = UploadBackend()
         async with world(backend) as harness:
             reader, writer = await harness.connect()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -5,7 +5,8 @@
 import pytest
 
 from fennelpoint.interface import BackendState, Probe, Status
-from fennelpoint.net.backends import Exchange, load_report
+from fennelpoint.net.backends import load_report
+from fennelpoint.net.exchange import Exchange
 from fennelpoint.testing import Backend, ask, member, ok, request, run, until, world
 
 # The statuses that tell what a client received: a backend's response, a refusal, a failure.
