soak: long writes with stalls, offers, early and late answers, and lost ones

Change: a tenth of the requests are uploads of 50 to 400 kB, with a length or in chunks, sent over 0.3 s; some stop half way, some offer h2c. Backends begin at the head, answer early, late, or with an interim answer and a pause, and reset some. Judged besides: a body that was not sent (UNASKED); promises and second runs of uploads by the records there were.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -43,7 +43,8 @@
         return False
     print(
         f"seed {result.seed}: {result.served} of {result.requests} served, {result.cancellations} departures and "
-        f"{result.lookups} look-ups judged, {result.version_answers} answers by {result.versions} versions, "
+        f"{result.lookups} look-ups judged, {result.uploads} uploads, "
+        f"{result.version_answers} answers by {result.versions} versions, "
         f"ended within {result.longest_shutdown_s:.2f} s, late by {result.lag_s:.2f} s, "
         f"{len(result.violations)} wrong",
         flush=True,
--- a/fennelpoint/testing/soak/records.py
+++ b/fennelpoint/testing/soak/records.py
@@ -65,6 +65,8 @@
     write_counts: Counter = field(default_factory=Counter)  # executions by id of the write
     confirmed_writes: set[str] = field(default_factory=set)  # ids of writes answered with success
     refused_writes: dict[str, str] = field(default_factory=dict)  # proxy that replied "not executed", by id
+    changed_bodies: list[str] = field(default_factory=list)  # attempts that ran with a body that was not sent
+    uploads: int = 0  # long writes that clients sent
     status_counts: Counter = field(default_factory=Counter)  # by status; 0: no reply
     cancellations: list[Cancellation] = field(default_factory=list)
     lookups: list[Lookup] = field(default_factory=list)
@@ -103,6 +105,7 @@
                 f"write {mark} was refused, and ran"
                 for mark in sorted(self.refused_writes.keys() & self.write_counts.keys())
             ),
+            *(f"attempt {attempt} ran with a changed body" for attempt in self.changed_bodies),
             *(
                 self._describe_late_execution(cancellation)
                 for cancellation in self.judged_cancellations()
--- a/fennelpoint/testing/soak/runner.py
+++ b/fennelpoint/testing/soak/runner.py
@@ -90,6 +90,7 @@
     served: int
     cancellations: int  # judged
     lookups: int  # judged
+    uploads: int
     version_answers: int  # replies to requests for the routes that tell versions apart
     versions: int  # acknowledged
     longest_shutdown_s: float  # from a SIGTERM to the end of the process
@@ -392,6 +393,7 @@
             answers[200],
             len(self.records.judged_cancellations()),
             len(self.records.judged_lookups()),
+            self.records.uploads,
             len(self.versions.replies),
             len(self.versions.acknowledged_at),
             self.longest_shutdown_s,
--- a/fennelpoint/testing/soak/traffic.py
+++ b/fennelpoint/testing/soak/traffic.py
@@ -11,6 +11,7 @@
 from urllib.parse import urlencode
 
 from fennelpoint.testing.servers import read_message
+from fennelpoint.testing.soak import uploads
 from fennelpoint.testing.soak.records import NOT_EXECUTED_STATUSES, Cancellation, Execution, Lookup, Records
 from fennelpoint.testing.system_demo import KEY, Backend
 
@@ -18,6 +19,7 @@
 CONNECT_TIMEOUT_S = 1.0  # also for a reply of the directory
 LONG_SHARE, LONG_WORK_S, WORK_S = 0.3, 1.2, 0.05  # share of long requests; duration of these and of the others
 CANCEL_AFTER_S = (0.05, 0.4)  # range of times after which a client disconnects early
+UPLOAD_SHARE = 0.1  # of requests
 SLOWDOWN_FACTOR = 4.0  # of slow backends
 
 
@@ -30,6 +32,12 @@
     cancel_share: float = 0.1  # share of clients that disconnect before the reply
 
 
+async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
+    """The first line of a request and its header fields, names in lower case."""
+    first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    return first, {name.lower(): value for name, _, value in (line.partition(": ") for line in lines if line)}
+
+
 class SoakBackend(Backend):
     """Works until its caller closes the connection, and records each execution from start to end."""
 
@@ -50,15 +58,24 @@
 
     async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         """Handle one request; returns whether the connection stays open."""
-        line, fields, body = await read_message(reader)
+        line, fields = await read_head(reader)
         if fields.get("x-expected-instance", self.id) != self.id:
+            await uploads.read_body(reader, fields)
             writer.write(b"HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
             return True
         attempt, is_write = fields["x-attempt-id"], line.startswith("POST")
         run = Execution(attempt, time.monotonic())
         self.records.executions.setdefault(attempt, []).append(run)
         if is_write:
-            self.records.write_counts[body.decode()] += 1
+            self.records.write_counts[attempt] += 1
+        if uploads.PATH_PART in line:
+            stays_open, is_unchanged = await uploads.serve(reader, writer, fields, self.id)
+            if not is_unchanged:
+                self.records.changed_bodies.append(attempt)
+            return stays_open
+        body = await uploads.read_body(reader, fields)
+        if is_write and body.decode() != attempt:
+            self.records.changed_bodies.append(attempt)
         was_cancelled = await self._work(line, reader)
         run.ended_at = time.monotonic()
         if was_cancelled or random.random() < self.traffic_faults.loss_share:
@@ -129,7 +146,8 @@
             self.records.status_counts[0] += 1
             return 0
         proxy = random.choice(self.lookup.proxies)
-        is_write = random.random() < 0.3
+        is_upload = random.random() < UPLOAD_SHARE
+        is_write = is_upload or random.random() < 0.3
         number = next(self.numbers)
         attempt = f"a{number}"
         try:
@@ -138,21 +156,34 @@
             self.lookup.expires_at = 0.0
             self.records.status_counts[0] += 1
             return 0
+        sending: asyncio.Task | None = None
         try:
-            writer.write(self._request(attempt, is_write))
+            if is_upload:
+                self.records.uploads += 1
+                head_lines = self._head_lines(attempt, f"POST /book{uploads.PATH_PART}")
+                sending = asyncio.create_task(uploads.send(writer, attempt, head_lines))
+            else:
+                writer.write(self._request(attempt, is_write))
             return await self._read_reply(reader, attempt, proxy, is_write)
         finally:
+            if sending is not None:
+                sending.cancel()
+                await asyncio.gather(sending, return_exceptions=True)
             writer.transport.abort()
 
     def _request(self, attempt: str, is_write: bool) -> bytes:
         kind = "long" if random.random() < LONG_SHARE else "short"
         body = attempt.encode() if is_write else b""
+        target = f"{'POST' if is_write else 'GET'} /{'book' if is_write else 'look'}/{kind}/"
+        return f"{self._head_lines(attempt, target)}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+    def _head_lines(self, attempt: str, target: str) -> str:
+        """The request line and the fields of all requests, without the end of the head."""
         return (
-            f"{'POST' if is_write else 'GET'} /{'book' if is_write else 'look'}/{kind}/ HTTP/1.1\r\n"
-            f"Host: {self.host}\r\n"
+            f"{target} HTTP/1.1\r\nHost: {self.host}\r\n"
             f"X-Attempt-Id: {attempt}\r\nX-Deadline-Remaining: {int(REPLY_TIMEOUT_S * 1000)}\r\n"
-            f"Authorization: Token {KEY}\r\nContent-Length: {len(body)}\r\n\r\n"
-        ).encode() + body
+            f"Authorization: Token {KEY}\r\n"
+        )
 
     async def _read_reply(self, reader: asyncio.StreamReader, attempt: str, proxy: str, is_write: bool) -> int:
         cancels = random.random() < self.traffic_faults.cancel_share
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -17,6 +17,7 @@
     result = asyncio.run(asyncio.wait_for(run_soak(SEED, GROUPS), 90.0))
     assert result.violations == [], result
     assert result.cancellations > 5 and result.lookups > 20 and result.served > 0.7 * result.requests, result
+    assert result.uploads > 10, result
     assert result.versions > 5 and result.version_answers > 100, result
 
 
@@ -77,6 +78,10 @@
     records.refused_writes["m1"] = "f1"
 
 
+def ran_with_a_changed_body(records: Records) -> None:
+    records.changed_bodies.append("a1")
+
+
 def logged_an_error(records: Records) -> None:
     records.log_errors.append("f1 logged: ERROR 500 VIOLATED")
 
@@ -91,6 +96,7 @@
         ran_twice,
         lost_a_write,
         refused_write_ran,
+        ran_with_a_changed_body,
         logged_an_error,
     ],
 )
